--- /dev/null
+++ b/src/rules.cpp
@@ -0,0 +1,772 @@
+// All decisions of copperfront, for one gateway.
+//
+// How it is called: the program around it makes one Rules per gateway with the Terms read at start, a Host to act
+// through and a seed, and then calls one method for each thing that happens (src/rules.h). A method decides and
+// acts at once through the Host (src/host.h); it never blocks and keeps no list of things to do. Indices of
+// queries and servers are dense; a query's index may be used anew once it has ended and none of its launches is out.
+//
+// The ordinary path is that of docs/design.md: to the reader with the fewest queued prompt tokens (or the one that
+// kept the text), held before the read while no writer shows room, and from the read's end to the writer with the
+// most free memory. Everything else here stands against a named trouble.
+
+#include "rules.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace copperfront {
+namespace {
+
+constexpr Span kMs{1000};
+
+// Settled by the design.
+constexpr double kRoomShare = 0.9;
+constexpr Span kFullFor = kMs * 1000;
+constexpr double kKeptMargin = 1.0;  // typical prompts
+
+// Left open by the design: what counts as a tie. Gateways see only their own traffic, so two loads that differ by
+// less than these say nothing of which server is the less busy; the shorter way is then worth more.
+constexpr double kReaderTie = 0.25;  // typical prompts
+constexpr double kWriterTie = 1.0;   // streams of the size in hand
+
+// Health. Two plain failures in a row shut a server out; the time out doubles up to a bound so that a server that
+// has come back is found within the span of a common outage.
+constexpr double kLearn = 0.3;
+constexpr double kShutAt = 0.5;
+constexpr Span kShutFirst = kMs * 1000;
+constexpr Span kShutMost = kMs * 8000;
+constexpr double kSlowFactor = 3.0;     // against the mean of the role, in pace
+constexpr double kShutPart = 0.5;       // the most of a role that plain failures and slowness may shut out
+constexpr std::uint32_t kPaceSamples = 4;
+
+// Launch time-outs: far past the usual, within bounds taken from the latency goal.
+constexpr double kSpreads = 6.0;
+constexpr double kLeastOfGoal = 0.4;
+constexpr double kMostOfGoal = 1.0;
+
+// Cold servers: the part of a full budget that is planned for, and how much of it may go at once.
+constexpr double kColdPart = 0.8;
+constexpr double kColdBurst = 0.35;
+
+constexpr double kRateWindowS = 10.0;
+constexpr double kStrained = 0.8;        // first-token time over the latency goal
+constexpr double kShareBurstS = 2.0;     // seconds of a client group's share that may come at once
+constexpr double kProbeSpend = 0.002;    // points of the result that probing may cost
+constexpr std::size_t kTextsKept = 20000;  // sessions remembered in each of two generations
+
+constexpr TimerKey kSweepKey = 1, kProbeKey = 2, kListKey = 3;
+constexpr TimerKey kQueryKeys = TimerKey{1} << 62;
+
+void learn(Learned& l, double sample) {
+    ++l.samples;
+    const double weight = std::max(0.02, 1.0 / static_cast<double>(l.samples));
+    const double off = std::abs(sample - l.mean);
+    l.mean += weight * (sample - l.mean);
+    l.spread += weight * ((l.samples == 1 ? sample / 2 : off) - l.spread);
+}
+
+double seconds(Span s) { return static_cast<double>(s.us) / 1e6; }
+
+template <class Map>
+void keep_text(Map& young, Map& old, std::uint64_t key, const KeptText& text) {
+    if (young.size() >= kTextsKept) {
+        old = std::move(young);
+        young = {};
+    }
+    young[key] = text;
+}
+
+template <class Map>
+const KeptText* find_text(const Map& young, const Map& old, std::uint64_t key) {
+    if (key == 0) return nullptr;
+    if (const auto it = young.find(key); it != young.end()) return &it->second;
+    if (const auto it = old.find(key); it != old.end()) return &it->second;
+    return nullptr;
+}
+
+}  // namespace
+
+Rules::Rules(const Terms& terms, Host& host, std::uint32_t seed)
+    : terms_(terms),
+      host_(host),
+      chance_(seed),
+      work_of_category_(terms.categories.size()),
+      share_level_(terms.quotas.size()),
+      share_filled_(terms.quotas.size(), host.now()) {
+    counted_at_ = host_.now();
+    for (std::size_t g = 0; g < terms_.quotas.size(); ++g)
+        share_level_[g] = terms_.quotas[g] / terms_.gateways * kShareBurstS;
+    if (terms_.ask_for_list) host_.subscribe();
+    if (terms_.probes && terms_.reports_by_probe && (terms_.reports_memory || terms_.reports_unread))
+        host_.set_timer(terms_.quantum, kProbeKey);
+}
+
+// ---- the list of servers
+
+void Rules::grow(ServerIndex s) {
+    if (s < servers_) return;
+    servers_ = s + 1;
+    role_.resize(servers_, Role::mixed);
+    standing_.resize(servers_, Standing::gone);
+    zone_.resize(servers_);
+    cell_.resize(servers_);
+    life_.resize(servers_);
+    for (auto* at : {&born_, &full_at_, &shut_until_, &cold_filled_}) at->resize(servers_);
+    shut_for_.resize(servers_);
+    for (auto* figure : {&memory_, &unread_, &streams_, &reported_memory_, &reported_unread_, &sent_unread_,
+                         &sent_streams_, &badness_, &pace_, &keep_rate_, &cold_level_})
+        figure->resize(servers_);
+    out_.resize(servers_);
+    paced_.resize(servers_);
+}
+
+// A process that has started anew holds nothing of what the old one was sent, kept or was judged by.
+void Rules::forget(ServerIndex s) {
+    ++life_[s];
+    full_at_[s] = host_.now() - kFullFor * 2;
+    shut_until_[s] = host_.now();
+    shut_for_[s] = {};
+    reported_memory_[s] = reported_unread_[s] = -1;
+    unread_[s] = streams_[s] = sent_unread_[s] = sent_streams_[s] = badness_[s] = pace_[s] = 0;
+    keep_rate_[s] = 1;
+    out_[s] = paced_[s] = 0;
+    // A random start lets many gateways together send what one rate allows, even where each may send less than one.
+    cold_level_[s] = std::uniform_real_distribution<double>(0, 1)(chance_);
+    cold_filled_[s] = host_.now();
+}
+
+void Rules::list_arrived(std::span<const Listing> entries, bool whole) {
+    std::vector<bool> named(servers_, false);
+    for (const Listing& e : entries) {
+        const bool known = e.server < servers_;
+        grow(e.server);
+        named.resize(servers_, false);
+        named[e.server] = true;
+        const ServerIndex s = e.server;
+        if (!known || born_[s] != e.born) forget(s);
+        role_[s] = terms_.kinds[e.kind].role;
+        memory_[s] = terms_.kinds[e.kind].memory_tokens;
+        zone_[s] = e.zone;
+        cell_[s] = e.cell;
+        born_[s] = e.born;
+        standing_[s] = e.standing;
+    }
+    if (whole)
+        for (ServerIndex s = 0; s < servers_; ++s)
+            if (!named[s]) standing_[s] = Standing::gone;
+    serve_lines();
+}
+
+// The old list stands; asking again at once would load the one list service that all gateways share.
+void Rules::list_missed() {
+    if (!terms_.ask_for_list) return;
+    std::uniform_int_distribution<std::int64_t> wait(200, 1000);
+    host_.set_timer(kMs * static_cast<double>(wait(chance_)), kListKey);
+}
+
+bool Rules::reads(ServerIndex s) const { return role_[s] != Role::writer; }
+bool Rules::writes(ServerIndex s) const { return role_[s] != Role::reader; }
+bool Rules::ready(ServerIndex s) const { return standing_[s] == Standing::ready; }
+
+bool Rules::is_cold(ServerIndex s) const {
+    return born_[s].us > 0 && host_.now() - born_[s] < terms_.warm_within;
+}
+
+// Cold servers: all gateways together must stay under tip x capacity x window for every window. Each keeps to the
+// part that its own traffic to warm servers of the role tells: if all do, the sum is the fleet's part. Only the
+// stated share at start is counted on, since the climb is not told. A gateway that knows nothing sends nothing.
+void Rules::refill_cold() {
+    const Instant now = host_.now();
+    const double fade = std::exp(-seconds(now - counted_at_) / kRateWindowS);
+    reads_done_ *= fade;
+    writes_done_ *= fade;
+    arrivals_ *= fade;
+    counted_at_ = now;
+    double warm_readers = 0, warm_writers = 0;
+    bool cold = false;
+    for (ServerIndex s = 0; s < servers_; ++s) {
+        if (!ready(s)) continue;
+        if (is_cold(s)) {
+            cold = true;
+        } else {
+            warm_readers += reads(s);
+            warm_writers += writes(s);
+        }
+    }
+    if (!cold) return;
+    for (ServerIndex s = 0; s < servers_; ++s) {
+        if (!ready(s) || !is_cold(s)) continue;
+        const double done = role_[s] == Role::reader ? reads_done_ : writes_done_;
+        const double peers = role_[s] == Role::reader ? warm_readers : warm_writers;
+        const double rate = peers > 0 ? done / kRateWindowS / peers : 0;
+        const double allowed = rate * terms_.tip_multiple * terms_.start_capacity * kColdPart;
+        const double most = std::max(1.0, allowed * seconds(terms_.fall) * kColdBurst);
+        cold_level_[s] = std::min(most, cold_level_[s] + allowed * (1 - kColdBurst) * seconds(now - cold_filled_[s]));
+        cold_filled_[s] = now;
+    }
+}
+
+// ---- health
+
+// Shut out, a server is tried again by single launches once its time is over; a good one lets it back in.
+bool Rules::is_open(ServerIndex s) const {
+    if (!ready(s)) return false;
+    if (is_cold(s) && cold_level_[s] < 1) return false;
+    if (shut_for_[s].us == 0) return true;
+    return host_.now() >= shut_until_[s] && out_[s] == 0;
+}
+
+void Rules::note_good(ServerIndex s) {
+    badness_[s] *= 1 - kLearn;
+    if (badness_[s] < kShutAt && shut_for_[s].us > 0) {
+        shut_for_[s] = {};
+        host_.log("server " + std::to_string(s) + " is let in again");
+    }
+}
+
+// Against servers that answer fast with errors (and, with the fewest queued, would draw all traffic), that are gone
+// before the list says so, that fall silent or lose states. At once: no connection, where a second try would only
+// cost the same wait. Plain failures may shut out no more than half of a role, or the rest would drown.
+void Rules::note_bad(ServerIndex s, bool at_once) {
+    badness_[s] += kLearn * (1 - badness_[s]);
+    if (at_once) badness_[s] = std::max(badness_[s], kShutAt + kLearn / 2);
+    if (badness_[s] < kShutAt) return;
+    if (!at_once && shut_for_[s].us == 0) {
+        double peers = 0, shut = 0;
+        for (ServerIndex o = 0; o < servers_; ++o) {
+            if (!ready(o) || role_[o] != role_[s]) continue;
+            ++peers;
+            shut += shut_for_[o].us > 0;
+        }
+        if (shut + 1 > peers * kShutPart) return;
+    }
+    if (shut_for_[s].us == 0) host_.log("server " + std::to_string(s) + " is shut out after failures");
+    shut_for_[s] = shut_for_[s].us == 0 ? kShutFirst : std::min(kShutMost, shut_for_[s] * 2);
+    shut_until_[s] = host_.now() + shut_for_[s];
+}
+
+// Against servers that run slow without failing: their pace is held against that of the role.
+void Rules::note_pace(ServerIndex s, Learned& all, double pace) {
+    learn(all, pace);
+    ++paced_[s];
+    pace_[s] += (paced_[s] < kPaceSamples ? 1.0 / paced_[s] : kLearn) * (pace - pace_[s]);
+    if (paced_[s] >= kPaceSamples && all.samples > 20 && pace_[s] > kSlowFactor * all.mean) {
+        note_bad(s, false);
+    } else {
+        note_good(s);
+    }
+}
+
+void Rules::note_report(ServerIndex s, const LoadReport& report) {
+    if (report.memory_share >= 0) {
+        reported_memory_[s] = report.memory_share;
+        sent_streams_[s] = 0;
+    }
+    if (report.unread_thousands >= 0) {
+        reported_unread_[s] = report.unread_thousands * 1000;
+        sent_unread_[s] = 0;
+    }
+}
+
+// ---- the two choices
+
+// Receipted queries that may have run stay within the servers that drop their repeat, and within its time.
+bool Rules::may_go(const Query& q, ServerIndex s) const {
+    if (!q.may_have_run) return true;
+    const Category& c = terms_.categories[q.facts.category];
+    if (c.effect == Effect::pure) return true;
+    if (c.effect == Effect::effectful || host_.now() - q.ran_since >= c.window) return false;
+    if (c.group == Group::zone) return zone_[s] == zone_[q.ran_at];
+    return c.group == Group::all || cell_[s] == cell_[q.ran_at];
+}
+
+double Rules::expected_kept(const Query& q, ServerIndex s) const {
+    double kept = 0;
+    if (const KeptText* t = find_text(sessions_, older_sessions_, q.facts.session))
+        if (t->reader == s && t->life == life_[s]) kept = t->tokens;
+    if (const KeptText* t = find_text(beginnings_, older_beginnings_, q.facts.beginning))
+        if (t->reader == s && t->life == life_[s]) kept = std::max(kept, q.facts.beginning_tokens);
+    return std::min(kept, q.facts.prompt_tokens) * keep_rate_[s];
+}
+
+// The output estimate is the client's hint, or half of the most that it allows.
+double Rules::stream_estimate(const Query& q) const {
+    const Category& c = terms_.categories[q.facts.category];
+    const double answer = q.facts.hint.us > 0 && c.token_gap.us > 0 ? q.facts.hint / c.token_gap
+                                                                    : q.facts.most_tokens / 2;
+    return q.facts.prompt_tokens + answer;
+}
+
+double Rules::reader_load(ServerIndex s) const {
+    if (!terms_.reports_unread) return unread_[s];
+    if (reported_unread_[s] >= 0) return reported_unread_[s] + sent_unread_[s];
+    double sum = 0, heard = 0;
+    for (ServerIndex o = 0; o < servers_; ++o) {
+        if (!ready(o) || !reads(o) || reported_unread_[o] < 0) continue;
+        sum += reported_unread_[o];
+        ++heard;
+    }
+    return heard > 0 ? sum / heard + sent_unread_[s] : unread_[s];
+}
+
+double Rules::writer_room(ServerIndex s) const {
+    if (!terms_.reports_memory) return -streams_[s];
+    if (reported_memory_[s] >= 0) return (1 - reported_memory_[s]) * memory_[s] - sent_streams_[s];
+    double sum = 0, heard = 0;
+    for (ServerIndex o = 0; o < servers_; ++o) {
+        if (!ready(o) || !writes(o) || reported_memory_[o] < 0) continue;
+        sum += (1 - reported_memory_[o]) * memory_[o];
+        ++heard;
+    }
+    return heard > 0 ? sum / heard - sent_streams_[s] : -streams_[s];
+}
+
+bool Rules::shows_room(ServerIndex s) const {
+    if (terms_.reports_memory && reported_memory_[s] > kRoomShare) return false;
+    return host_.now() - full_at_[s] >= kFullFor;
+}
+
+bool Rules::any_room(const Query& q) const {
+    for (ServerIndex s = 0; s < servers_; ++s)
+        if (writes(s) && is_open(s) && may_go(q, s) && shows_room(s)) return true;
+    return false;
+}
+
+bool Rules::pick_reader(const Query& q, ServerIndex& best) {
+    // Passes over, in turn: what this query has just found bad and what was full, then nothing but shut-out servers.
+    for (const int pass : {0, 1, 2}) {
+        const auto fit = [&](ServerIndex s) {
+            const bool by_role = reads(s) || (pass > 0 && terms_.writers_read);
+            if (!by_role || !may_go(q, s) || !ready(s)) return false;
+            if (is_cold(s) && cold_level_[s] < 1) return false;
+            if (pass < 2 && !is_open(s)) return false;
+            if (pass > 0) return true;
+            return std::find(q.avoid.begin(), q.avoid.end(), s) == q.avoid.end() &&
+                   host_.now() - full_at_[s] >= kFullFor;
+        };
+        double least = std::numeric_limits<double>::infinity();
+        for (ServerIndex s = 0; s < servers_; ++s)
+            if (fit(s) && (reads(s) || pass == 2)) least = std::min(least, reader_load(s));
+        if (std::isinf(least)) continue;
+        const double typical = prompt_.mean;
+        for (const KeptText* t : {find_text(sessions_, older_sessions_, q.facts.session),
+                                  find_text(beginnings_, older_beginnings_, q.facts.beginning)}) {
+            if (!t || t->life != life_[t->reader] || !fit(t->reader)) continue;
+            if (reader_load(t->reader) > least + kKeptMargin * typical) continue;
+            best = t->reader;
+            return true;
+        }
+        double score = -1;
+        for (ServerIndex s = 0; s < servers_; ++s) {
+            if (!fit(s) || (!reads(s) && pass < 2)) continue;
+            if (reader_load(s) > least + kReaderTie * typical) continue;
+            const double mine = (zone_[s] == terms_.zone ? 2.0 : 0.0) +
+                                std::uniform_real_distribution<double>(0, 1)(chance_);
+            if (mine > score) {
+                score = mine;
+                best = s;
+            }
+        }
+        return true;
+    }
+    return false;
+}
+
+bool Rules::pick_writer(const Query& q, ServerIndex& best) {
+    for (const int pass : {0, 1, 2}) {
+        const auto fit = [&](ServerIndex s) {
+            if (!writes(s) || !ready(s) || !may_go(q, s) || (is_cold(s) && cold_level_[s] < 1)) return false;
+            if (pass < 2 && !is_open(s)) return false;
+            if (pass > 0) return true;
+            return std::find(q.avoid.begin(), q.avoid.end(), s) == q.avoid.end() && shows_room(s);
+        };
+        double most = -std::numeric_limits<double>::infinity();
+        for (ServerIndex s = 0; s < servers_; ++s)
+            if (fit(s)) most = std::max(most, writer_room(s));
+        if (std::isinf(most)) continue;
+        const double tie = kWriterTie * stream_estimate(q);
+        double score = -1;
+        for (ServerIndex s = 0; s < servers_; ++s) {
+            if (!fit(s) || writer_room(s) < most - tie) continue;
+            const double mine = (cell_[s] == cell_[q.state_at] ? 4.0 : 0.0) +
+                                (zone_[s] == zone_[q.state_at] ? 2.0 : 0.0) +
+                                std::uniform_real_distribution<double>(0, 1)(chance_);
+            if (mine > score) {
+                score = mine;
+                best = s;
+            }
+        }
+        return true;
+    }
+    return false;
+}
+
+// ---- launches
+
+// Against servers that fall silent. Only one launch of a query is cut short, so that a fleet that is slow as a whole
+// is not asked for the same work again and again; and none whose repeat could have an effect.
+Span Rules::launch_limit(const Query& q, bool reading) const {
+    const Span left = q.hard_stop - host_.now();
+    const Category& c = terms_.categories[q.facts.category];
+    const Learned& usual = reading ? read_time_ : first_time_;
+    if (q.ran_into_limit || (!reading && (c.effect != Effect::pure || !c.stream)) || usual.samples < 10) return left;
+    const Span goal = q.goal - q.came;
+    const Span span{static_cast<std::int64_t>((usual.mean + kSpreads * usual.spread) * 1000.0)};
+    return std::min(left, std::clamp(span, goal * kLeastOfGoal, goal * kMostOfGoal));
+}
+
+void Rules::send(QueryIndex i, ServerIndex s, bool reading) {
+    Query& q = queries_[i];
+    q.stage = reading ? Stage::reading : Stage::writing;
+    q.server = s;
+    q.server_life = life_[s];
+    q.out = true;
+    q.at_reader = role_[s] == Role::reader;
+    q.sent = host_.now();
+    q.state_life = reading ? life_[s] : q.state_life;
+    ++q.launches;
+    ++out_[s];
+    if (reading) {
+        q.read_tokens = q.facts.prompt_tokens - expected_kept(q, s);
+        unread_[s] += q.read_tokens;
+        sent_unread_[s] += q.read_tokens;
+    }
+    if (writes(s)) {
+        q.stream_tokens = stream_estimate(q);
+        streams_[s] += q.stream_tokens;
+        sent_streams_[s] += q.stream_tokens;
+    }
+    if (is_cold(s)) {
+        const Learned& mine = work_of_category_[q.facts.category];
+        cold_level_[s] -= work_.mean > 0 && mine.samples > 0 ? mine.mean / work_.mean : 1.0;
+    }
+    const Span left = q.hard_stop - host_.now();
+    const Span limit = launch_limit(q, reading);
+    if (limit < left) q.ran_into_limit = true;
+    host_.launch(i, s, limit);
+}
+
+// What was counted against the server of the launch that has ended; a process started since knows nothing of it.
+void Rules::settle_books(Query& q) {
+    q.out = false;
+    const ServerIndex s = q.server;
+    if (q.server_life == life_[s]) {
+        --out_[s];
+        unread_[s] = std::max(0.0, unread_[s] - q.read_tokens);
+        streams_[s] = std::max(0.0, streams_[s] - q.stream_tokens);
+    }
+    q.read_tokens = q.stream_tokens = 0;
+}
+
+void Rules::query_arrived(QueryIndex i, const Arrival& facts) {
+    if (i >= queries_.size()) queries_.resize(i + 1);
+    const std::uint32_t serial = queries_[i].serial + 1;
+    Query& q = queries_[i];
+    q = Query{};
+    q.serial = serial;
+    q.facts = facts;
+    const Category& c = terms_.categories[facts.category];
+    q.came = host_.now();
+    q.goal = q.came + c.latency_goal + c.goal_per_thousand * (facts.prompt_tokens / 1000.0);
+    q.hard_stop = q.came + facts.budget;
+    learn(prompt_, facts.prompt_tokens);
+    learn(work_of_category_[facts.category], stream_estimate(q));
+    learn(work_, stream_estimate(q));
+    refill_cold();
+    arrivals_ += 1;
+    // A shade before the client leaves, so that the answer is there in time however the batches fall.
+    host_.set_timer(std::max(Span{0}, facts.budget - terms_.quantum), kQueryKeys + (TimerKey{i} << 30) + serial % (1U << 30));
+    q.stage = Stage::first_line;
+    if (over_share(q) && strain_ > kStrained) {
+        end(i, terms_.max_stay_away);
+        return;
+    }
+    first_line_.emplace_back(i, serial);
+    serve_lines();
+}
+
+// Shares are told for all gateways; the front spreads clients evenly, so each holds its part.
+bool Rules::over_share(const Query& q) {
+    if (q.facts.client_group < 0) return false;
+    const auto g = static_cast<std::size_t>(q.facts.client_group);
+    if (g >= terms_.quotas.size() || terms_.quotas[g] <= 0) return false;
+    const double rate = terms_.quotas[g] / terms_.gateways;
+    share_level_[g] = std::min(std::max(1.0, rate * kShareBurstS),
+                               share_level_[g] + rate * seconds(host_.now() - share_filled_[g]));
+    share_filled_[g] = host_.now();
+    if (share_level_[g] < 1) return true;
+    share_level_[g] -= 1;
+    return false;
+}
+
+// The hold is before the read: no writer shows room, no read.
+bool Rules::start(QueryIndex i) {
+    Query& q = queries_[i];
+    if (!any_room(q)) return false;
+    ServerIndex s = 0;
+    if (!pick_reader(q, s)) return false;
+    send(i, s, true);
+    return true;
+}
+
+void Rules::serve_lines() {
+    refill_cold();
+    const Instant now = host_.now();
+    const Span usual = kMs * (read_time_.mean + first_time_.mean);
+    for (auto* line : {&first_line_, &further_line_}) {
+        const Stage stage = line == &first_line_ ? Stage::first_line : Stage::further_line;
+        for (std::size_t n = line->size(); n > 0; --n) {
+            const auto [i, serial] = line->front();
+            line->pop_front();
+            if (queries_[i].serial != serial || queries_[i].stage != stage) continue;
+            if (start(i)) continue;
+            // Against queries that wait only to be answered too late: the client may do better elsewhere.
+            if (now + usual > std::min(queries_[i].goal, queries_[i].hard_stop) && now > queries_[i].came) {
+                end(i, terms_.max_stay_away);
+                continue;
+            }
+            line->emplace_back(i, serial);
+        }
+    }
+    if (!first_line_.empty() || !further_line_.empty()) wake_soon(kMs * 20);
+}
+
+void Rules::stand_again(QueryIndex i) {
+    Query& q = queries_[i];
+    q.stage = Stage::further_line;
+    further_line_.emplace_back(i, q.serial);
+    wake_soon(Span{0});
+}
+
+// The read has ended, so the state goes to the writer with the most free memory now.
+void Rules::hand_over(QueryIndex i) {
+    Query& q = queries_[i];
+    if (standing_[q.state_at] == Standing::gone || life_[q.state_at] != q.state_life) {
+        host_.release(i);
+        q.has_state = false;
+        retry_or_end(i);
+        return;
+    }
+    ServerIndex s = 0;
+    if (q.launches < terms_.max_launches && pick_writer(q, s)) {
+        send(i, s, false);
+        return;
+    }
+    park(i);
+}
+
+void Rules::park(QueryIndex i) {
+    Query& q = queries_[i];
+    q.stage = Stage::parked;
+    parked_.emplace_back(i, q.serial);
+    wake_soon(terms_.release_within * 0.25);
+}
+
+// A state may wait for a writer only as long as the rule on held states allows, less a margin for late batches.
+void Rules::serve_parked() {
+    for (std::size_t n = parked_.size(); n > 0; --n) {
+        const auto [i, serial] = parked_.front();
+        parked_.pop_front();
+        Query& q = queries_[i];
+        if (q.serial != serial || q.stage != Stage::parked) continue;
+        const Span waited = host_.now() - q.parked_since;
+        ServerIndex s = 0;
+        if (q.launches < terms_.max_launches && (waited >= terms_.release_within * 0.4 || any_room(q)) &&
+            pick_writer(q, s)) {
+            send(i, s, false);
+        } else if (waited >= terms_.release_within * 0.6 || q.launches >= terms_.max_launches) {
+            host_.release(i);
+            q.has_state = false;
+            retry_or_end(i);
+        } else {
+            parked_.emplace_back(i, serial);
+        }
+    }
+    if (!parked_.empty()) wake_soon(kMs * 20);
+}
+
+void Rules::retry_or_end(QueryIndex i) {
+    Query& q = queries_[i];
+    const Category& c = terms_.categories[q.facts.category];
+    const bool barred = q.may_have_run && c.effect == Effect::effectful;
+    // A read without a launch left to hand it over would only be waste.
+    if (barred || q.launches + 2 > terms_.max_launches || host_.now() + terms_.quantum >= q.hard_stop) {
+        end(i, terms_.max_stay_away * 0.25);
+        return;
+    }
+    stand_again(i);
+}
+
+// The final answer, at once. A decline says that trying again is harmless, so it is kept for when that is so.
+void Rules::end(QueryIndex i, Span stay_away) {
+    Query& q = queries_[i];
+    const Category& c = terms_.categories[q.facts.category];
+    const bool uncertain = q.may_have_run || (q.out && !q.at_reader);
+    const bool harmless = !uncertain || c.effect == Effect::pure ||
+                          (c.effect == Effect::receipted && c.group == Group::all);
+    if (harmless) {
+        host_.decline(i, stay_away);
+    } else {
+        host_.give_up(i);
+    }
+    over(i);
+}
+
+// No answer lets go of a state, so every end does; what a launch still out brings back is let go when it ends.
+void Rules::over(QueryIndex i) {
+    Query& q = queries_[i];
+    if (q.out && terms_.cancel && q.stage != Stage::streaming) host_.retract(i, q.launches - 1);
+    q.stage = Stage::over;
+    host_.release(i);
+    q.has_state = false;
+}
+
+// ---- what comes back
+
+void Rules::stream_began(QueryIndex i, Span took) {
+    Query& q = queries_[i];
+    const ServerIndex s = q.server;
+    if (q.server_life == life_[s]) unread_[s] = std::max(0.0, unread_[s] - q.read_tokens);
+    q.read_tokens = 0;
+    if (q.stage == Stage::over) return;
+    q.stage = Stage::streaming;
+    q.has_state = false;
+    writes_done_ += 1;
+    learn(first_time_, took.ms());
+    note_pace(s, first_pace_, took.ms());
+    strain_ += 0.05 * ((host_.now() - q.came) / (q.goal - q.came) - strain_);
+}
+
+void Rules::remember_read(const Query& q, ServerIndex s, double kept) {
+    const double expected = std::min(q.facts.prompt_tokens, expected_kept(q, s) / std::max(0.05, keep_rate_[s]));
+    if (expected > 0) keep_rate_[s] += kLearn * (std::min(1.0, kept / expected) - keep_rate_[s]);
+    keep_rate_[s] = std::max(keep_rate_[s], 0.05);
+    if (q.facts.session != 0)
+        keep_text(sessions_, older_sessions_, q.facts.session, {s, life_[s], q.facts.prompt_tokens});
+    if (q.facts.beginning != 0)
+        keep_text(beginnings_, older_beginnings_, q.facts.beginning, {s, life_[s], q.facts.beginning_tokens});
+}
+
+void Rules::launch_ended(QueryIndex i, ServerIndex s, const Outcome& outcome) {
+    Query& q = queries_[i];
+    const bool reading = q.stage == Stage::reading;
+    const double tokens = q.read_tokens;
+    const bool at_reader = q.at_reader;
+    settle_books(q);
+    note_report(s, outcome.report);
+
+    const Ending e = outcome.ending;
+    if (e == Ending::unreachable) note_bad(s, true);
+    if (e == Ending::error || e == Ending::broken || e == Ending::late) note_bad(s, false);
+    if (e == Ending::full && !outcome.no_state) full_at_[s] = host_.now();
+    if (e == Ending::read) {
+        reads_done_ += 1;
+        learn(read_time_, outcome.took.ms());
+        note_pace(s, read_pace_, outcome.took.ms() / (1 + tokens / std::max(1.0, prompt_.mean)));
+        remember_read(q, s, outcome.kept_tokens);
+    }
+    if (e == Ending::late) learn(at_reader ? read_time_ : first_time_, outcome.took.ms());
+
+    if (q.stage == Stage::over || outcome.over) {
+        q.stage = Stage::over;
+        host_.release(i);
+        serve_lines();
+        return;
+    }
+    const bool ran = e == Ending::error || e == Ending::late || e == Ending::broken || e == Ending::retracted;
+    if (ran && !at_reader && !q.may_have_run) {
+        q.may_have_run = true;
+        q.ran_at = s;
+        q.ran_since = q.sent;
+    }
+    if (e == Ending::read) {
+        q.has_state = true;
+        q.state_at = s;
+        q.parked_since = host_.now();
+        q.avoid.clear();
+        hand_over(i);
+    } else {
+        q.avoid.push_back(s);
+        q.parked_since = host_.now();
+        if (e == Ending::unsent || q.hard_stop <= host_.now() + terms_.quantum) {
+            end(i, Span{0});
+        } else if (reading || outcome.no_state) {
+            if (outcome.no_state && q.has_state) note_bad(q.state_at, false);
+            q.has_state = false;
+            retry_or_end(i);
+        } else if (ran && terms_.categories[q.facts.category].effect == Effect::effectful) {
+            end(i, Span{0});
+        } else if (q.has_state) {
+            ServerIndex next = 0;
+            if (e == Ending::full && !any_room(q)) {
+                park(i);
+            } else if (q.launches < terms_.max_launches && pick_writer(q, next)) {
+                hand_over(i);
+            } else {
+                park(i);
+            }
+        } else {
+            retry_or_end(i);
+        }
+    }
+    serve_lines();
+}
+
+void Rules::query_left(QueryIndex i) {
+    Query& q = queries_[i];
+    if (q.stage == Stage::over) return;
+    over(i);
+    serve_lines();
+}
+
+// ---- time and probes
+
+void Rules::wake_soon(Span after) {
+    if (sweep_set_) return;
+    sweep_set_ = true;
+    host_.set_timer(std::max(after, terms_.quantum), kSweepKey);
+}
+
+void Rules::timer_rang(TimerKey key) {
+    if (key >= kQueryKeys) {
+        const auto i = static_cast<QueryIndex>((key - kQueryKeys) >> 30);
+        const auto serial = static_cast<std::uint32_t>(key & ((1U << 30) - 1));
+        if (i >= queries_.size()) return;
+        Query& q = queries_[i];
+        if (q.serial % (1U << 30) != serial || q.stage == Stage::over || q.stage == Stage::streaming) return;
+        strain_ += 0.05 * (1.5 - strain_);
+        end(i, Span{0});
+        serve_lines();
+        return;
+    }
+    if (key == kSweepKey) {
+        sweep_set_ = false;
+        serve_parked();
+        serve_lines();
+    }
+    if (key == kProbeKey) probe_round();
+    if (key == kListKey) host_.subscribe();
+}
+
+// Where load is told by probes alone, as many as the price of a probe lets be worth it.
+void Rules::probe_round() {
+    refill_cold();
+    double asked = 0;
+    for (ServerIndex s = 0; s < servers_; ++s) {
+        if (!ready(s)) continue;
+        if (!((terms_.reports_memory && writes(s)) || (terms_.reports_unread && reads(s)))) continue;
+        host_.probe(s);
+        ++asked;
+    }
+    const double rate = std::max(arrivals_ / kRateWindowS, 0.5);
+    const double wait = std::clamp(asked * terms_.probe_fee / (kProbeSpend * rate), 0.25, 5.0);
+    host_.set_timer(kMs * (wait * 1000.0), kProbeKey);
+}
+
+void Rules::probe_answered(ServerIndex s, bool answered, const LoadReport& report) {
+    if (answered) note_report(s, report);
+    serve_lines();
+}
+
+}  // namespace copperfront
--- /dev/null
+++ b/src/rules.h
@@ -0,0 +1,177 @@
+// The decisions of one gateway. Each method is one thing that can happen; it acts through the Host.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <random>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "host.h"
+#include "terms.h"
+#include "units.h"
+
+namespace copperfront {
+
+enum class Standing { ready, draining, gone };
+
+struct Listing {
+    ServerIndex server = 0;
+    std::uint16_t kind = 0;
+    std::uint16_t zone = 0;
+    std::uint32_t cell = 0;
+    Instant born;  // 0: long ago
+    Standing standing = Standing::ready;
+};
+
+struct Arrival {
+    std::uint16_t category = 0;
+    std::int32_t client_group = -1;  // -1: none
+    std::uint64_t session = 0;       // 0: none
+    std::uint64_t beginning = 0;     // shared with other sessions; 0: none
+    double prompt_tokens = 0;
+    double beginning_tokens = 0;
+    double most_tokens = 0;  // upper limit of the answer
+    Span hint;               // rough length of the answer; 0: none
+    Span budget;             // until the client stops waiting for this try
+};
+
+enum class Ending { settled, error, full, late, unreachable, broken, retracted, unsent, read };
+
+struct LoadReport {
+    double memory_share = -1;  // -1: not in the report
+    double unread_thousands = -1;
+};
+
+struct Outcome {
+    Ending ending = Ending::error;
+    Span took;
+    double kept_tokens = 0;
+    bool no_state = false;
+    bool over = false;  // the query has had its final answer
+    LoadReport report;
+};
+
+enum class Stage { idle, first_line, further_line, reading, parked, writing, streaming, over };
+
+struct Query {
+    Arrival facts;
+    Stage stage = Stage::idle;
+    std::uint32_t serial = 0;
+    Instant came, goal, hard_stop;
+    std::uint32_t launches = 0;
+    ServerIndex server = 0;  // of the launch that is out
+    std::uint32_t server_life = 0;
+    bool out = false;
+    bool ran_into_limit = false;
+    bool at_reader = false;
+    bool has_state = false;
+    ServerIndex state_at = 0;
+    std::uint32_t state_life = 0;
+    Instant parked_since, sent;
+    double read_tokens = 0, stream_tokens = 0;
+    std::vector<ServerIndex> avoid;
+    bool may_have_run = false;
+    ServerIndex ran_at = 0;
+    Instant ran_since;
+};
+
+struct KeptText {
+    ServerIndex reader = 0;
+    std::uint32_t life = 0;
+    double tokens = 0;
+};
+
+// A figure learned from a run of samples, with its mean deviation.
+struct Learned {
+    double mean = 0, spread = 0;
+    std::uint64_t samples = 0;
+};
+
+class Rules {
+  public:
+    Rules(const Terms& terms, Host& host, std::uint32_t seed);
+
+    void list_arrived(std::span<const Listing> entries, bool whole);
+    void list_missed();
+    void query_arrived(QueryIndex query, const Arrival& facts);
+    void query_left(QueryIndex query);
+    void stream_began(QueryIndex query, Span took);
+    void launch_ended(QueryIndex query, ServerIndex server, const Outcome& outcome);
+    void probe_answered(ServerIndex server, bool answered, const LoadReport& report);
+    void timer_rang(TimerKey key);
+
+  private:
+    bool reads(ServerIndex s) const;
+    bool writes(ServerIndex s) const;
+    bool ready(ServerIndex s) const;
+    bool is_cold(ServerIndex s) const;
+    bool is_open(ServerIndex s) const;
+    bool may_go(const Query& q, ServerIndex s) const;
+    bool shows_room(ServerIndex s) const;
+    bool any_room(const Query& q) const;
+    double expected_kept(const Query& q, ServerIndex s) const;
+    double stream_estimate(const Query& q) const;
+    double reader_load(ServerIndex s) const;
+    double writer_room(ServerIndex s) const;
+    bool pick_reader(const Query& q, ServerIndex& best);
+    bool pick_writer(const Query& q, ServerIndex& best);
+    Span launch_limit(const Query& q, bool reading) const;
+
+    void grow(ServerIndex s);
+    void forget(ServerIndex s);
+    void refill_cold();
+    void note_good(ServerIndex s);
+    void note_bad(ServerIndex s, bool at_once);
+    void note_pace(ServerIndex s, Learned& all, double pace);
+    void note_report(ServerIndex s, const LoadReport& report);
+    void remember_read(const Query& q, ServerIndex s, double kept);
+
+    void send(QueryIndex i, ServerIndex s, bool reading);
+    void settle_books(Query& q);
+    bool start(QueryIndex i);
+    void hand_over(QueryIndex i);
+    void park(QueryIndex i);
+    void stand_again(QueryIndex i);
+    void retry_or_end(QueryIndex i);
+    void end(QueryIndex i, Span stay_away);
+    void over(QueryIndex i);
+    void serve_lines();
+    void serve_parked();
+    void wake_soon(Span after);
+    void probe_round();
+    bool over_share(const Query& q);
+
+    Terms terms_;
+    Host& host_;
+    std::minstd_rand chance_;
+
+    std::vector<Query> queries_;
+    std::deque<std::pair<QueryIndex, std::uint32_t>> first_line_, further_line_, parked_;
+    bool sweep_set_ = false;
+    std::unordered_map<std::uint64_t, KeptText> sessions_, older_sessions_, beginnings_, older_beginnings_;
+
+    std::size_t servers_ = 0;
+    std::vector<Role> role_;
+    std::vector<Standing> standing_;
+    std::vector<std::uint16_t> zone_;
+    std::vector<std::uint32_t> cell_, life_;
+    std::vector<Instant> born_, full_at_, shut_until_, cold_filled_;
+    std::vector<Span> shut_for_;
+    std::vector<double> memory_, unread_, streams_, reported_memory_, reported_unread_, sent_unread_,
+        sent_streams_, badness_, pace_, keep_rate_, cold_level_;
+    std::vector<std::uint32_t> out_, paced_;
+
+    Learned prompt_, read_time_, first_time_, read_pace_, first_pace_;
+    std::vector<Learned> work_of_category_;
+    Learned work_;
+    double strain_ = 0;
+    double reads_done_ = 0, writes_done_ = 0, arrivals_ = 0;
+    Instant counted_at_;
+    std::vector<double> share_level_;
+    std::vector<Instant> share_filled_;
+};
+
+}  // namespace copperfront
--- /dev/null
+++ b/src/terms.h
@@ -0,0 +1,57 @@
+// The terms of service a gateway is started with: what its site allows, asks and promises.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "units.h"
+
+namespace copperfront {
+
+enum class Role { reader, writer, mixed };
+enum class Effect { pure, receipted, effectful };
+enum class Group { all, zone, cell };
+
+struct Category {
+    Effect effect = Effect::pure;
+    Group group = Group::all;  // which servers drop a repeat of a receipted query
+    Span window;               // how long they remember it
+    Span latency_goal;
+    Span goal_per_thousand;  // added to the latency goal for each 1,000 prompt tokens
+    Span token_gap;          // wanted time between tokens
+    bool stream = true;
+};
+
+struct Kind {
+    Role role = Role::mixed;
+    double memory_tokens = 0;  // 0: not told
+};
+
+struct Terms {
+    std::vector<Category> categories;
+    std::vector<Kind> kinds;
+    std::vector<double> quotas;  // queries a second by client group, over all gateways; 0: none told
+
+    int gateways = 1;
+    std::uint16_t zone = 0;
+
+    bool cancel = false;
+    bool probes = false;
+    bool writers_read = false;
+    bool ask_for_list = false;
+    bool reports_memory = false;  // load reports hold the share of memory held
+    bool reports_unread = false;  // load reports hold the tokens that wait to be read
+    bool reports_by_probe = false;
+    std::uint32_t max_launches = 1;
+    Span max_stay_away;
+    double probe_fee = 0;
+
+    Span quantum;
+    Span release_within;
+    double start_capacity = 1;
+    double tip_multiple = 1;
+    Span fall;
+    Span warm_within;
+};
+
+}  // namespace copperfront
--- /dev/null
+++ b/src/units.h
@@ -0,0 +1,30 @@
+// Points in time and lengths of time, kept apart so that neither can stand in for the other.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace copperfront {
+
+struct Span {
+    std::int64_t us = 0;
+    auto operator<=>(const Span&) const = default;
+    double ms() const { return static_cast<double>(us) / 1000.0; }
+};
+
+struct Instant {
+    std::int64_t us = 0;
+    auto operator<=>(const Instant&) const = default;
+};
+
+constexpr Span operator+(Span a, Span b) { return {a.us + b.us}; }
+constexpr Span operator-(Span a, Span b) { return {a.us - b.us}; }
+constexpr Span operator*(Span a, double factor) {
+    return {static_cast<std::int64_t>(static_cast<double>(a.us) * factor)};
+}
+constexpr double operator/(Span a, Span b) { return static_cast<double>(a.us) / static_cast<double>(b.us); }
+constexpr Instant operator+(Instant a, Span b) { return {a.us + b.us}; }
+constexpr Instant operator-(Instant a, Span b) { return {a.us - b.us}; }
+constexpr Span operator-(Instant a, Instant b) { return {a.us - b.us}; }
+
+}  // namespace copperfront
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,2 @@
+#include <cassert>
+int main() {}
--- /dev/null
+++ b/wirehost/main.cpp
@@ -0,0 +1,501 @@
+// The adapter: reads batches of events from standard input, calls the rules of each gateway, and writes what they
+// did. It holds no decision; ids become small indices here and go back unchanged.
+
+#include <cmath>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "rules.h"
+
+namespace copperfront {
+namespace {
+
+using Json = nlohmann::json;
+
+struct BadInput : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+const Json* field(const Json& object, const char* name) {
+    const auto it = object.find(name);
+    return it == object.end() || it->is_null() ? nullptr : &*it;
+}
+
+const Json& needed(const Json& object, const char* name) {
+    if (const Json* value = field(object, name)) return *value;
+    throw BadInput(std::string("a field is missing: ") + name);
+}
+
+double as_number(const Json& value, const char* name) {
+    if (!value.is_number()) throw BadInput(std::string("not a number: ") + name);
+    return value.get<double>();
+}
+
+double number(const Json& object, const char* name) { return as_number(needed(object, name), name); }
+
+double number_or(const Json& object, const char* name, double absent) {
+    const Json* value = field(object, name);
+    return value ? as_number(*value, name) : absent;
+}
+
+std::uint64_t whole(const Json& object, const char* name) {
+    const Json& value = needed(object, name);
+    if (!value.is_number_integer() || (value.is_number_integer() && !value.is_number_unsigned() && value < 0))
+        throw BadInput(std::string("not a whole number: ") + name);
+    return value.get<std::uint64_t>();
+}
+
+std::string as_text(const Json& value, const char* name) {
+    if (!value.is_string()) throw BadInput(std::string("not a text: ") + name);
+    return value.get<std::string>();
+}
+
+std::string text(const Json& object, const char* name) { return as_text(needed(object, name), name); }
+
+std::string text_or(const Json& object, const char* name, const char* absent) {
+    const Json* value = field(object, name);
+    return value ? as_text(*value, name) : absent;
+}
+
+bool flag(const Json& object, const char* name) {
+    const Json* value = field(object, name);
+    if (!value) return false;
+    if (!value->is_boolean()) throw BadInput(std::string("not true or false: ") + name);
+    return value->get<bool>();
+}
+
+const Json& object_or_empty(const Json& parent, const char* name) {
+    static const Json empty = Json::object();
+    const Json* value = field(parent, name);
+    if (!value) return empty;
+    if (!value->is_object()) throw BadInput(std::string("not an object: ") + name);
+    return *value;
+}
+
+const Json& list_or_empty(const Json& parent, const char* name) {
+    static const Json empty = Json::array();
+    const Json* value = field(parent, name);
+    if (!value) return empty;
+    if (!value->is_array()) throw BadInput(std::string("not a list: ") + name);
+    return *value;
+}
+
+std::int64_t micros(double ms) {
+    if (!(std::abs(ms) < 1e15)) throw BadInput("a time out of bounds");
+    return std::llround(ms * 1000.0);
+}
+
+Span span_or(const Json& object, const char* name, double absent_ms) {
+    return {micros(number_or(object, name, absent_ms))};
+}
+
+double wire_ms(Span span) { return static_cast<double>(span.us) / 1000.0; }
+
+// Sessions and shared beginnings can be endless in number, so they become hashes, not table rows. 0 means none.
+std::uint64_t mark(const std::string& name) {
+    if (name.empty()) return 0;
+    std::uint64_t hash = 14695981039346656037ULL;
+    for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+    return hash ? hash : 1;
+}
+
+class Names {
+  public:
+    std::uint32_t index(const std::string& name) {
+        const auto [it, fresh] = index_.try_emplace(name, static_cast<std::uint32_t>(names_.size()));
+        if (fresh) names_.push_back(name);
+        return it->second;
+    }
+    const std::uint32_t* find(const std::string& name) const {
+        const auto it = index_.find(name);
+        return it == index_.end() ? nullptr : &it->second;
+    }
+    const std::string& name(std::uint32_t i) const { return names_[i]; }
+
+  private:
+    std::unordered_map<std::string, std::uint32_t> index_;
+    std::vector<std::string> names_;
+};
+
+std::uint32_t known(const Names& names, const std::string& name, const char* what) {
+    const std::uint32_t* i = names.find(name);
+    if (!i) throw BadInput(std::string("unknown ") + what + ": " + name);
+    return *i;
+}
+
+class Gateway : public Host {
+  public:
+    Gateway(std::uint64_t who, const Json& event, Instant clock, std::string& reply)
+        : who_(who), clock_(clock), reply_(reply) {
+        const Json& env = needed(event, "env");
+        if (!env.is_object()) throw BadInput("not an object: env");
+        const Terms terms = read_terms(env);
+        rules_ = std::make_unique<Rules>(terms, *this, static_cast<std::uint32_t>(whole(event, "random-seed")));
+    }
+
+    void set_clock(Instant clock) { clock_ = clock; }
+
+    void take(const std::string& kind, const Json& event) {
+        if (kind == "DirectoryUpdate") return directory(event);
+        if (kind == "Inbound") return inbound(event);
+        if (kind == "Flowing") return flowing(event);
+        if (kind == "Result") return result(event);
+        if (kind == "Gone") return gone(event);
+        if (kind == "Wake") return wake(event);
+        if (kind == "StatusBack") return status_back(event);
+        if (kind == "AnswerAhead") {  // the rules never hold a place ahead
+            whole(event, "call");
+            return;
+        }
+        if (kind == "Heard") return;  // the rules tell peers nothing and listen to none
+        throw BadInput("unknown message: " + kind);
+    }
+
+    // An index is free again only between batches, since a query that has ended may still be named within one.
+    void end_batch() {
+        for (const QueryIndex i : ended_) {
+            Call& call = calls_[i];
+            if (!call.used || !call.ended || call.out > 0) continue;
+            index_of_call_.erase(call.id);
+            call.used = false;
+            free_.push_back(i);
+        }
+        ended_.clear();
+    }
+
+    Instant now() const override { return clock_; }
+    void launch(QueryIndex query, ServerIndex server, Span limit) override {
+        Call& call = calls_[query];
+        ++call.out;
+        say("SubmitTo", {{"call", call.id},
+                         {"server", servers_.name(server)},
+                         {"limit-ms", limit.us > 0 ? wire_ms(limit) : -1.0}});
+    }
+    void retract(QueryIndex query, std::uint32_t launch) override {
+        say("Retract", {{"call", calls_[query].id}, {"attempt", launch}});
+    }
+    void decline(QueryIndex query, Span stay_away) override {
+        ended(query);
+        Json action = {{"call", calls_[query].id}};
+        if (stay_away.us > 0) action["stay-away-ms"] = wire_ms(stay_away);
+        say("Decline", std::move(action));
+    }
+    void give_up(QueryIndex query) override {
+        ended(query);
+        say("Lose", {{"call", calls_[query].id}});
+    }
+    void release(QueryIndex query) override { say("Release", {{"call", calls_[query].id}}); }
+    void probe(ServerIndex server) override { say("SoundOut", {{"server", servers_.name(server)}}); }
+    void subscribe() override { say("Listen", {{"on", true}}); }
+    void set_timer(Span from_now, TimerKey key) override {
+        say("Timer", {{"from-now-ms", wire_ms(from_now)}, {"key-back", std::to_string(key)}});
+    }
+    void log(std::string_view line) override { say("Log", {{"line", line}}); }
+
+  private:
+    struct Call {
+        std::uint64_t id = 0;
+        std::uint32_t out = 0;
+        bool used = false, ended = false;
+    };
+
+    void say(const char* kind, Json action) {
+        action["kind"] = kind;
+        action["who"] = who_;
+        reply_ += action.dump(-1, ' ', false, Json::error_handler_t::replace);
+        reply_ += '\n';
+    }
+
+    void ended(QueryIndex query) {
+        calls_[query].ended = true;
+        ended_.push_back(query);
+    }
+
+    const QueryIndex* find_call(const Json& event) const {
+        const auto it = index_of_call_.find(whole(event, "call"));
+        return it == index_of_call_.end() ? nullptr : &it->second;
+    }
+
+    Terms read_terms(const Json& env) {
+        Terms t;
+        const Json& info = object_or_empty(env, "family-info");
+        const Json& limits = object_or_empty(env, "limits");
+        const Json& safety = object_or_empty(env, "safety");
+        const Json& load = object_or_empty(env, "load-info");
+
+        for (const Json& zone : list_or_empty(env, "azs")) zones_.index(as_text(zone, "azs"));
+        t.zone = static_cast<std::uint16_t>(zones_.index(text_or(env, "zone", "")));
+        t.gateways = std::max(1, static_cast<int>(number_or(env, "balancers", 1)));
+
+        const Json& roles = list_or_empty(info, "role-by-kind");
+        const Json& memory = list_or_empty(info, "tokens-by-kind");
+        for (const Json& model : list_or_empty(env, "models")) {
+            const std::size_t k = kinds_.index(as_text(model, "models"));
+            Kind kind;
+            if (k < roles.size()) {
+                const std::string role = as_text(roles[k], "role-by-kind");
+                if (role != "read" && role != "write" && role != "both") throw BadInput("unknown role: " + role);
+                kind.role = role == "read" ? Role::reader : role == "write" ? Role::writer : Role::mixed;
+            }
+            if (k < memory.size()) kind.memory_tokens = as_number(memory[k], "tokens-by-kind");
+            t.kinds.push_back(kind);
+        }
+
+        const Json& stretch = list_or_empty(info, "aim-us-per-1000-prompt-tokens");
+        const Json& gaps = list_or_empty(info, "token-aim-ms");
+        for (const Json& profile : list_or_empty(env, "profiles")) {
+            const std::size_t c = categories_.index(text(profile, "name"));
+            Category category;
+            const std::string effect = text_or(profile, "effect", "repeatable");
+            if (effect != "repeatable" && effect != "by_key" && effect != "once")
+                throw BadInput("unknown effect: " + effect);
+            category.effect = effect == "once"     ? Effect::effectful
+                              : effect == "by_key" ? Effect::receipted
+                                                   : Effect::pure;
+            const std::string scope = text_or(profile, "key-scope", "all");
+            if (scope != "all" && scope != "zone" && scope != "cell") throw BadInput("unknown key-scope: " + scope);
+            category.group = scope == "cell" ? Group::cell : scope == "zone" ? Group::zone : Group::all;
+            category.window = span_or(profile, "window-ms", 0);
+            category.latency_goal = {micros(number(profile, "target-ms"))};
+            category.stream = flag(profile, "stream");
+            if (c < stretch.size()) category.goal_per_thousand = {micros(as_number(stretch[c], "aim-us") / 1000.0)};
+            if (c < gaps.size()) category.token_gap = {micros(as_number(gaps[c], "token-aim-ms"))};
+            t.categories.push_back(category);
+        }
+
+        for (const Json& realm : list_or_empty(env, "realms")) {
+            groups_.index(text(realm, "name"));
+            t.quotas.push_back(number_or(realm, "quota-per-s", 0));
+        }
+
+        t.cancel = flag(limits, "cancel");
+        t.probes = flag(limits, "probes");
+        t.max_launches = static_cast<std::uint32_t>(std::max(1.0, number_or(limits, "max-attempts", 1)));
+        if (flag(limits, "retry-after")) t.max_stay_away = span_or(limits, "max-retry-after-ms", 0);
+        t.probe_fee = number_or(object_or_empty(env, "fees"), "probe", 0);
+        t.writers_read = flag(info, "writers-read");
+        t.ask_for_list = text_or(env, "discovery", "pushed") == "on_request";
+        const std::string how = text_or(load, "how", "off");
+        if (how != "inline" && how != "on_probe" && how != "off") throw BadInput("unknown load-info.how: " + how);
+        t.reports_by_probe = how == "on_probe";
+        for (const Json& name : list_or_empty(load, "names")) {
+            if (how == "off") break;
+            t.reports_memory |= as_text(name, "names") == "x0";
+            t.reports_unread |= as_text(name, "names") == "x1";
+        }
+        t.quantum = span_or(env, "quantum-ms", 0);
+        t.release_within = span_or(info, "release-ms", 1000);
+        t.start_capacity = number_or(safety, "start-capacity", 1);
+        t.tip_multiple = number_or(safety, "tip-multiple", 1);
+        t.fall = span_or(safety, "fall-ms", 0);
+        t.warm_within = span_or(safety, "warm-within-ms", 0);
+        return t;
+    }
+
+    void directory(const Json& event) {
+        const std::string how = text(event, "how");
+        if (how == "broken") return rules_->list_missed();
+        if (how != "patch" && how != "whole" && how != "stale_copy") throw BadInput("unknown how: " + how);
+        std::vector<Listing> entries;
+        for (const Json& e : list_or_empty(event, "members-list")) {
+            if (!e.is_object()) throw BadInput("not an object: members-list");
+            Listing listing;
+            listing.server = servers_.index(text(e, "server"));
+            listing.kind = static_cast<std::uint16_t>(known(kinds_, text(e, "family-type"), "family-type"));
+            listing.zone = static_cast<std::uint16_t>(zones_.index(text_or(e, "region-part", "")));
+            listing.cell = static_cast<std::uint32_t>(number_or(e, "unit-group", 0));
+            listing.born = {micros(number_or(e, "born-ms", 0))};
+            const std::string condition = text(e, "condition");
+            if (condition != "Ready" && condition != "Terminating" && condition != "Gone")
+                throw BadInput("unknown condition: " + condition);
+            listing.standing = condition == "Ready"  ? Standing::ready
+                               : condition == "Gone" ? Standing::gone
+                                                     : Standing::draining;
+            entries.push_back(listing);
+        }
+        rules_->list_arrived(entries, how != "patch");
+    }
+
+    void inbound(const Json& event) {
+        const std::uint64_t id = whole(event, "call");
+        if (index_of_call_.count(id)) throw BadInput("a call comes twice: " + std::to_string(id));
+        Arrival a;
+        a.category = static_cast<std::uint16_t>(known(categories_, text(event, "priority"), "priority"));
+        if (const Json* group = field(event, "client-group"); group && group->is_string())
+            a.client_group = static_cast<std::int32_t>(known(groups_, group->get<std::string>(), "client-group"));
+        else if (group && *group != 0)
+            throw BadInput("not a text: client-group");
+        a.session = mark(text_or(event, "session-id", ""));
+        if (const Json* shared = field(event, "system-prompt"); shared && *shared != 0)
+            a.beginning = mark(as_text(*shared, "system-prompt"));
+        a.budget = {micros(number(event, "time-budget-ms"))};
+        a.hint = span_or(event, "hint-ms", 0);
+        a.prompt_tokens = number_or(event, "prompt-tokens", 0);
+        a.beginning_tokens = number_or(event, "prefix-len", 0);
+        a.most_tokens = number_or(event, "max-tokens", 0);
+        QueryIndex i = static_cast<QueryIndex>(calls_.size());
+        if (free_.empty()) {
+            calls_.emplace_back();
+        } else {
+            i = free_.back();
+            free_.pop_back();
+        }
+        calls_[i] = {id, 0, true, false};
+        index_of_call_[id] = i;
+        rules_->query_arrived(i, a);
+    }
+
+    void flowing(const Json& event) {
+        const double took = number_or(event, "took-ms", 0);
+        if (const QueryIndex* i = find_call(event)) rules_->stream_began(*i, {micros(took)});
+    }
+
+    void gone(const Json& event) {
+        const QueryIndex* i = find_call(event);
+        if (!i) return;
+        ended(*i);
+        rules_->query_left(*i);
+    }
+
+    LoadReport report(const Json& event) const {
+        LoadReport r;
+        const Json& pressure = object_or_empty(event, "pressure");
+        r.memory_share = number_or(pressure, "x0", -1);
+        r.unread_thousands = number_or(pressure, "x1", -1);
+        return r;
+    }
+
+    void result(const Json& event) {
+        static const std::map<std::string, Ending> endings = {
+            {"ok", Ending::settled},      {"error", Ending::error},  {"full", Ending::full},
+            {"timeout", Ending::late},    {"reset", Ending::broken}, {"connect_failed", Ending::unreachable},
+            {"cancelled", Ending::retracted}, {"moot", Ending::unsent},  {"read", Ending::read}};
+        const auto ending = endings.find(text(event, "how"));
+        if (ending == endings.end()) throw BadInput("unknown how: " + text(event, "how"));
+        const ServerIndex server = known(servers_, text(event, "server"), "server");
+        const double info = number_or(event, "info", 0);
+        Outcome o;
+        o.ending = ending->second;
+        o.took = span_or(event, "took-ms", 0);
+        o.no_state = o.ending == Ending::full && info == 1;
+        o.kept_tokens = info;
+        o.over = flag(event, "final");
+        o.report = report(event);
+        const QueryIndex* found = find_call(event);
+        if (!found || calls_[*found].out == 0) return;
+        const QueryIndex i = *found;
+        --calls_[i].out;
+        if (o.over) calls_[i].ended = true;
+        if (calls_[i].ended) ended_.push_back(i);
+        rules_->launch_ended(i, server, o);
+    }
+
+    void wake(const Json& event) {
+        const std::string key = text(event, "key-back");
+        char* end = nullptr;
+        const TimerKey number = std::strtoull(key.c_str(), &end, 10);
+        if (key.empty() || *end != '\0') throw BadInput("a timer that was never set: " + key);
+        rules_->timer_rang(number);
+    }
+
+    void status_back(const Json& event) {
+        const ServerIndex server = known(servers_, text(event, "server"), "server");
+        rules_->probe_answered(server, text(event, "how") == "ok", report(event));
+    }
+
+    std::uint64_t who_;
+    Instant clock_;
+    std::string& reply_;
+    Names servers_, zones_, kinds_, categories_, groups_;
+    std::vector<Call> calls_;
+    std::vector<QueryIndex> free_, ended_;
+    std::unordered_map<std::uint64_t, QueryIndex> index_of_call_;
+    std::unique_ptr<Rules> rules_;
+};
+
+class Wire {
+  public:
+    void line(const std::string& raw) {
+        const Json event = Json::parse(raw, nullptr, false);
+        if (event.is_discarded()) throw BadInput("not JSON");
+        if (!event.is_object()) throw BadInput("not an object");
+        const std::string kind = text(event, "kind");
+        if (kind == "Round") {
+            if (in_batch_) throw BadInput("a Round inside a batch");
+            const Instant clock{micros(number(event, "time-ms"))};
+            if (clock < clock_) throw BadInput("the clock goes backward");
+            clock_ = clock;
+            in_batch_ = true;
+            return;
+        }
+        if (!in_batch_) throw BadInput("no Round before " + kind);
+        if (kind == "EofBatch") {
+            for (auto& [who, gateway] : gateways_) gateway->end_batch();
+            reply_ += "{\"kind\":\"Eor\"}\n";
+            std::cout << reply_ << std::flush;
+            reply_.clear();
+            in_batch_ = false;
+            return;
+        }
+        const std::uint64_t who = whole(event, "who");
+        if (kind == "Provision") {
+            if (gateways_.count(who)) throw BadInput("an instance is provisioned twice");
+            gateways_.emplace(who, std::make_unique<Gateway>(who, event, clock_, reply_));
+            return;
+        }
+        const auto it = gateways_.find(who);
+        if (it == gateways_.end()) throw BadInput("an instance that is not provisioned: " + std::to_string(who));
+        if (kind == "Teardown") {
+            gateways_.erase(it);
+            return;
+        }
+        try {
+            it->second->set_clock(clock_);
+            it->second->take(kind, event);
+        } catch (const BadInput&) {
+            throw;
+        } catch (const std::exception& trouble) {
+            const Json fault = {{"kind", "Exception"}, {"who", who}, {"line", trouble.what()}};
+            reply_ += fault.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+        }
+    }
+
+    bool in_batch() const { return in_batch_; }
+
+  private:
+    bool in_batch_ = false;
+    Instant clock_;
+    std::string reply_;
+    std::map<std::uint64_t, std::unique_ptr<Gateway>> gateways_;
+};
+
+}  // namespace
+}  // namespace copperfront
+
+int main() {
+    std::ios::sync_with_stdio(false);
+    std::cin.tie(nullptr);
+    copperfront::Wire wire;
+    std::string raw;
+    std::size_t line = 0;
+    try {
+        while (std::getline(std::cin, raw)) {
+            ++line;
+            if (raw.find_first_not_of(" \t\r") == std::string::npos) continue;
+            wire.line(raw);
+        }
+        if (wire.in_batch()) throw copperfront::BadInput("the input ends inside a batch");
+    } catch (const std::exception& trouble) {
+        std::cerr << "copperfront_wirehost: line " << line << ": " << trouble.what() << std::endl;
+        return 2;
+    }
+    return 0;
+}
