Let reads run to their hard stop: time-outs kept jams going

Cause: once readers were slow, every read ran into its time-out and was asked for again elsewhere, where nothing was kept.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -410,7 +410,7 @@
     const Span left = q.hard_stop - host_.now();
     const Category& c = terms_.categories[q.facts.category];
     const Learned& usual = reading ? read_time_ : first_time_;
-    if (q.ran_into_limit || (!reading && (c.effect != Effect::pure || !c.stream)) || usual.samples < 10) return left;
+    if (reading || q.ran_into_limit || (!reading && (c.effect != Effect::pure || !c.stream)) || usual.samples < 10) return left;
     const Span goal = q.goal - q.came;
     const Span span{static_cast<std::int64_t>((usual.mean + kSpreads * usual.spread) * 1000.0)};
     return std::min(left, std::clamp(span, goal * kLeastOfGoal, goal * kMostOfGoal));
