Hold reads that would end past the latency goal, and while every reader is full

Cause: overloaded readers were sent all that came, so every answer was late, and full readers were asked again within milliseconds. Expected read time is learned as time for each token this gateway had queued. Also holds against lost kept texts and slow readers; it may hurt where reads speed up suddenly, until one returns.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -39,6 +39,7 @@
 constexpr double kSlowFactor = 3.0;     // against the mean of the role, in pace
 constexpr double kShutPart = 0.5;       // the most of a role that plain failures and slowness may shut out
 constexpr std::uint32_t kPaceSamples = 4;
+constexpr double kLeastRead = 0.1;  // typical prompts that a read costs even where all of it is kept
 
 // Launch time-outs: far past the usual, within bounds taken from the latency goal.
 constexpr double kSpreads = 6.0;
@@ -49,6 +50,9 @@
 constexpr double kColdPart = 0.8;
 constexpr double kColdBurst = 0.35;
 
+// The part of the latency goal that the expected read and first token may fill; the rest is for their spread.
+constexpr double kFillGoal = 0.8;
+
 constexpr double kRateWindowS = 10.0;
 constexpr double kStrained = 0.8;        // first-token time over the latency goal
 constexpr double kShareBurstS = 2.0;     // seconds of a client group's share that may come at once
@@ -119,6 +123,7 @@
         figure->resize(servers_);
     out_.resize(servers_);
     paced_.resize(servers_);
+    unbegun_.resize(servers_);
 }
 
 // A process that has started anew holds nothing of what the old one was sent, kept or was judged by.
@@ -130,7 +135,7 @@
     reported_memory_[s] = reported_unread_[s] = -1;
     unread_[s] = streams_[s] = sent_unread_[s] = sent_streams_[s] = badness_[s] = pace_[s] = 0;
     keep_rate_[s] = 1;
-    out_[s] = paced_[s] = 0;
+    out_[s] = paced_[s] = unbegun_[s] = 0;
     // A random start lets many gateways together send what one rate allows, even where each may send less than one.
     cold_level_[s] = std::uniform_real_distribution<double>(0, 1)(chance_);
     cold_filled_[s] = host_.now();
@@ -246,12 +251,18 @@
     shut_until_[s] = host_.now() + shut_for_[s];
 }
 
-// Against servers that run slow without failing: their pace is held against that of the role.
-void Rules::note_pace(ServerIndex s, Learned& all, double pace) {
-    learn(all, pace);
+// Against servers that run slow without failing: their pace is held against that of their peers now, so that a
+// fleet that is slow as a whole shuts out nobody.
+void Rules::note_pace(ServerIndex s, double pace) {
     ++paced_[s];
     pace_[s] += (paced_[s] < kPaceSamples ? 1.0 / paced_[s] : kLearn) * (pace - pace_[s]);
-    if (paced_[s] >= kPaceSamples && all.samples > 20 && pace_[s] > kSlowFactor * all.mean) {
+    double sum = 0, peers = 0;
+    for (ServerIndex o = 0; o < servers_; ++o) {
+        if (o == s || !ready(o) || role_[o] != role_[s] || paced_[o] < kPaceSamples) continue;
+        sum += pace_[o];
+        ++peers;
+    }
+    if (paced_[s] >= kPaceSamples && peers > 0 && pace_[s] > kSlowFactor * sum / peers) {
         note_bad(s, false);
     } else {
         note_good(s);
@@ -334,16 +345,15 @@
 }
 
 bool Rules::pick_reader(const Query& q, ServerIndex& best) {
-    // Passes over, in turn: what this query has just found bad and what was full, then nothing but shut-out servers.
+    // Passes over what this query has just found bad, then only what is shut out, then only what was full.
     for (const int pass : {0, 1, 2}) {
         const auto fit = [&](ServerIndex s) {
             const bool by_role = reads(s) || (pass > 0 && terms_.writers_read);
             if (!by_role || !may_go(q, s) || !ready(s)) return false;
             if (is_cold(s) && cold_level_[s] < 1) return false;
             if (pass < 2 && !is_open(s)) return false;
-            if (pass > 0) return true;
-            return std::find(q.avoid.begin(), q.avoid.end(), s) == q.avoid.end() &&
-                   host_.now() - full_at_[s] >= kFullFor;
+            if (host_.now() - full_at_[s] < kFullFor) return false;
+            return pass > 0 || std::find(q.avoid.begin(), q.avoid.end(), s) == q.avoid.end();
         };
         double least = std::numeric_limits<double>::infinity();
         for (ServerIndex s = 0; s < servers_; ++s)
@@ -402,6 +412,23 @@
     return false;
 }
 
+// What a read sent now would take, by what reads took here of late for each token that this gateway had queued.
+Span Rules::read_wait(const Query& q, ServerIndex s) const {
+    const double tokens = unread_[s] + q.facts.prompt_tokens - expected_kept(q, s) + kLeastRead * prompt_.mean;
+    return paced_[s] > 0 ? kMs * (pace_[s] * tokens) : Span{0};
+}
+
+// The shortest wait for a first token among the writers, as far as this gateway has launches out that tell of it.
+Span Rules::first_wait() const {
+    double least = -1;
+    for (ServerIndex s = 0; s < servers_; ++s) {
+        if (!writes(s) || !is_open(s)) continue;
+        const double wait = unbegun_[s] > 0 ? pace_[s] : 0;
+        if (least < 0 || wait < least) least = wait;
+    }
+    return kMs * std::max(0.0, least);
+}
+
 // ---- launches
 
 // Against servers that fall silent. Only one launch of a query is cut short, so that a fleet that is slow as a whole
@@ -431,6 +458,9 @@
         q.read_tokens = q.facts.prompt_tokens - expected_kept(q, s);
         unread_[s] += q.read_tokens;
         sent_unread_[s] += q.read_tokens;
+        q.queued_tokens = unread_[s];
+    } else {
+        ++unbegun_[s];
     }
     if (writes(s)) {
         q.stream_tokens = stream_estimate(q);
@@ -453,6 +483,7 @@
     const ServerIndex s = q.server;
     if (q.server_life == life_[s]) {
         --out_[s];
+        if (q.stage == Stage::writing) --unbegun_[s];
         unread_[s] = std::max(0.0, unread_[s] - q.read_tokens);
         streams_[s] = std::max(0.0, streams_[s] - q.stream_tokens);
     }
@@ -506,6 +537,9 @@
     if (!any_room(q)) return false;
     ServerIndex s = 0;
     if (!pick_reader(q, s)) return false;
+    // Against jams: a read that would end past the latency goal only makes those behind it late as well.
+    if (out_[s] > 0 && host_.now() + read_wait(q, s) + first_wait() > q.came + (q.goal - q.came) * kFillGoal)
+        return false;
     send(i, s, true);
     return true;
 }
@@ -634,7 +668,8 @@
     q.has_state = false;
     writes_done_ += 1;
     learn(first_time_, took.ms());
-    note_pace(s, first_pace_, took.ms());
+    note_pace(s, took.ms());
+    if (q.server_life == life_[s]) --unbegun_[s];
     strain_ += 0.05 * ((host_.now() - q.came) / (q.goal - q.came) - strain_);
 }
 
@@ -651,7 +686,6 @@
 void Rules::launch_ended(QueryIndex i, ServerIndex s, const Outcome& outcome) {
     Query& q = queries_[i];
     const bool reading = q.stage == Stage::reading;
-    const double tokens = q.read_tokens;
     const bool at_reader = q.at_reader;
     settle_books(q);
     note_report(s, outcome.report);
@@ -663,7 +697,7 @@
     if (e == Ending::read) {
         reads_done_ += 1;
         learn(read_time_, outcome.took.ms());
-        note_pace(s, read_pace_, outcome.took.ms() / (1 + tokens / std::max(1.0, prompt_.mean)));
+        note_pace(s, outcome.took.ms() / (q.queued_tokens + kLeastRead * prompt_.mean));
         remember_read(q, s, outcome.kept_tokens);
     }
     if (e == Ending::late) learn(at_reader ? read_time_ : first_time_, outcome.took.ms());
--- a/src/rules.h
+++ b/src/rules.h
@@ -71,7 +71,7 @@
     ServerIndex state_at = 0;
     std::uint32_t state_life = 0;
     Instant parked_since, sent;
-    double read_tokens = 0, stream_tokens = 0;
+    double read_tokens = 0, stream_tokens = 0, queued_tokens = 0;
     std::vector<ServerIndex> avoid;
     bool may_have_run = false;
     ServerIndex ran_at = 0;
@@ -125,7 +125,9 @@
     void refill_cold();
     void note_good(ServerIndex s);
     void note_bad(ServerIndex s, bool at_once);
-    void note_pace(ServerIndex s, Learned& all, double pace);
+    void note_pace(ServerIndex s, double pace);
+    Span read_wait(const Query& q, ServerIndex s) const;
+    Span first_wait() const;
     void note_report(ServerIndex s, const LoadReport& report);
     void remember_read(const Query& q, ServerIndex s, double kept);
 
@@ -162,9 +164,9 @@
     std::vector<Span> shut_for_;
     std::vector<double> memory_, unread_, streams_, reported_memory_, reported_unread_, sent_unread_,
         sent_streams_, badness_, pace_, keep_rate_, cold_level_;
-    std::vector<std::uint32_t> out_, paced_;
+    std::vector<std::uint32_t> out_, paced_, unbegun_;
 
-    Learned prompt_, read_time_, first_time_, read_pace_, first_pace_;
+    Learned prompt_, read_time_, first_time_;
     std::vector<Learned> work_of_category_;
     Learned work_;
     double strain_ = 0;
