--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -41,11 +41,6 @@
 constexpr std::uint32_t kPaceSamples = 4;
 constexpr double kLeastRead = 0.1;  // typical prompts that a read costs even where all of it is kept
 
-// Launch time-outs: far past the usual, within bounds taken from the latency goal.
-constexpr double kSpreads = 6.0;
-constexpr double kLeastOfGoal = 0.4;
-constexpr double kMostOfGoal = 1.0;
-
 // Cold servers: the part of a full budget that is planned for, and how much of it may go at once.
 constexpr double kColdPart = 0.8;
 constexpr double kColdBurst = 0.35;
@@ -431,18 +426,6 @@
 
 // ---- launches
 
-// Against servers that fall silent. Only one launch of a query is cut short, so that a fleet that is slow as a whole
-// is not asked for the same work again and again; and none whose repeat could have an effect.
-Span Rules::launch_limit(const Query& q, bool reading) const {
-    const Span left = q.hard_stop - host_.now();
-    const Category& c = terms_.categories[q.facts.category];
-    const Learned& usual = reading ? read_time_ : first_time_;
-    if (reading || q.ran_into_limit || (!reading && (c.effect != Effect::pure || !c.stream)) || usual.samples < 10) return left;
-    const Span goal = q.goal - q.came;
-    const Span span{static_cast<std::int64_t>((usual.mean + kSpreads * usual.spread) * 1000.0)};
-    return std::min(left, std::clamp(span, goal * kLeastOfGoal, goal * kMostOfGoal));
-}
-
 void Rules::send(QueryIndex i, ServerIndex s, bool reading) {
     Query& q = queries_[i];
     q.stage = reading ? Stage::reading : Stage::writing;
@@ -471,10 +454,8 @@
         const Learned& mine = work_of_category_[q.facts.category];
         cold_level_[s] -= work_.mean > 0 && mine.samples > 0 ? mine.mean / work_.mean : 1.0;
     }
-    const Span left = q.hard_stop - host_.now();
-    const Span limit = launch_limit(q, reading);
-    if (limit < left) q.ran_into_limit = true;
-    host_.launch(i, s, limit);
+    // No shorter limit: in a jam every launch would run into it and its work be asked for again (docs/results.md).
+    host_.launch(i, s, q.hard_stop - host_.now());
 }
 
 // What was counted against the server of the launch that has ended; a process started since knows nothing of it.
--- a/src/rules.h
+++ b/src/rules.h
@@ -65,7 +65,6 @@
     ServerIndex server = 0;  // of the launch that is out
     std::uint32_t server_life = 0;
     bool out = false;
-    bool ran_into_limit = false;
     bool at_reader = false;
     bool has_state = false;
     ServerIndex state_at = 0;
@@ -118,7 +117,6 @@
     double writer_room(ServerIndex s) const;
     bool pick_reader(const Query& q, ServerIndex& best);
     bool pick_writer(const Query& q, ServerIndex& best);
-    Span launch_limit(const Query& q, bool reading) const;
 
     void grow(ServerIndex s);
     void forget(ServerIndex s);
