Judge slowness at readers alone, at four times the peers' pace

A writer's wait for the first token tells of its queue rather than of its speed, so only readers are judged.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -36,9 +36,9 @@
 constexpr double kShutAt = 0.5;
 constexpr Span kShutFirst = kMs * 1000;
 constexpr Span kShutMost = kMs * 8000;
-constexpr double kSlowFactor = 1e9;     // against the mean of the role, in pace
+constexpr double kSlowFactor = 4.0;     // against the mean of the role, in pace
 constexpr double kShutPart = 0.5;       // the most of a role that plain failures and slowness may shut out
-constexpr std::uint32_t kPaceSamples = 4;
+constexpr std::uint32_t kPaceSamples = 8;
 constexpr double kLeastRead = 0.1;  // typical prompts that a read costs even where all of it is kept
 
 // Cold servers: the part of a full budget that is planned for, and how much of it may go at once.
@@ -248,7 +248,7 @@
 
 // Against servers that run slow without failing: their pace is held against that of their peers now, so that a
 // fleet that is slow as a whole shuts out nobody.
-void Rules::note_pace(ServerIndex s, double pace) {
+void Rules::note_pace(ServerIndex s, double pace, bool judge) {
     ++paced_[s];
     pace_[s] += (paced_[s] < kPaceSamples ? 1.0 / paced_[s] : kLearn) * (pace - pace_[s]);
     double sum = 0, peers = 0;
@@ -257,7 +257,7 @@
         sum += pace_[o];
         ++peers;
     }
-    if (paced_[s] >= kPaceSamples && peers > 0 && pace_[s] > kSlowFactor * sum / peers) {
+    if (judge && paced_[s] >= kPaceSamples && peers > 0 && pace_[s] > kSlowFactor * sum / peers) {
         note_bad(s, false);
     } else {
         note_good(s);
@@ -649,7 +649,7 @@
     q.has_state = false;
     writes_done_ += 1;
     learn(first_time_, took.ms());
-    note_pace(s, took.ms());
+    note_pace(s, took.ms(), false);
     if (q.server_life == life_[s]) --unbegun_[s];
     strain_ += 0.05 * ((host_.now() - q.came) / (q.goal - q.came) - strain_);
 }
@@ -678,7 +678,7 @@
     if (e == Ending::read) {
         reads_done_ += 1;
         learn(read_time_, outcome.took.ms());
-        note_pace(s, outcome.took.ms() / (q.queued_tokens + kLeastRead * prompt_.mean));
+        note_pace(s, outcome.took.ms() / (q.queued_tokens + kLeastRead * prompt_.mean), true);
         remember_read(q, s, outcome.kept_tokens);
     }
     if (e == Ending::late) learn(at_reader ? read_time_ : first_time_, outcome.took.ms());
--- a/src/rules.h
+++ b/src/rules.h
@@ -123,7 +123,7 @@
     void refill_cold();
     void note_good(ServerIndex s);
     void note_bad(ServerIndex s, bool at_once);
-    void note_pace(ServerIndex s, double pace);
+    void note_pace(ServerIndex s, double pace, bool judge);
     Span read_wait(const Query& q, ServerIndex s) const;
     Span first_wait() const;
     void note_report(ServerIndex s, const LoadReport& report);
