--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -46,7 +46,7 @@
 constexpr double kColdBurst = 0.35;
 
 // The part of the latency goal that the expected read and first token may fill; the rest is for their spread.
-constexpr double kFillGoal = 0.8;
+constexpr double kFillGoal = 0.6;
 
 constexpr double kRateWindowS = 10.0;
 constexpr double kStrained = 0.8;        // first-token time over the latency goal
