--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -413,15 +413,15 @@
     return paced_[s] > 0 ? kMs * (pace_[s] * tokens) : Span{0};
 }
 
-// The shortest wait for a first token among the writers, as far as this gateway has launches out that tell of it.
+// The usual wait for a first token among the writers, as far as this gateway has launches out that tell of it.
 Span Rules::first_wait() const {
-    double least = -1;
+    double sum = 0, writers = 0;
     for (ServerIndex s = 0; s < servers_; ++s) {
         if (!writes(s) || !is_open(s)) continue;
-        const double wait = unbegun_[s] > 0 ? pace_[s] : 0;
-        if (least < 0 || wait < least) least = wait;
+        sum += unbegun_[s] > 0 ? pace_[s] : 0;
+        ++writers;
     }
-    return kMs * std::max(0.0, least);
+    return kMs * (writers > 0 ? sum / writers : 0.0);
 }
 
 // ---- launches
@@ -519,8 +519,8 @@
     ServerIndex s = 0;
     if (!pick_reader(q, s)) return false;
     // Against jams: a read that would end past the latency goal only makes those behind it late as well.
-    if (out_[s] > 0 && host_.now() + read_wait(q, s) + first_wait() > q.came + (q.goal - q.came) * kFillGoal)
-        return false;
+    const Span wait = (out_[s] > 0 ? read_wait(q, s) : Span{0}) + first_wait();
+    if (wait.us > 0 && host_.now() + wait > q.came + (q.goal - q.came) * kFillGoal) return false;
     send(i, s, true);
     return true;
 }
