Count own sends against the right report, and probe more while memory is tight

Cause: an answer that still held the old report wiped the count of streams sent since, and at one probe a writer in 0.6 s the hold saw full memory late.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -52,6 +52,8 @@
 constexpr double kStrained = 0.8;        // first-token time over the latency goal
 constexpr double kShareBurstS = 2.0;     // seconds of a client group's share that may come at once
 constexpr double kProbeSpend = 0.002;    // points of the result that probing may cost
+constexpr double kProbeSpendTight = 0.006;  // and while some writer's memory is over this share
+constexpr double kTightShare = 0.7;
 constexpr std::size_t kTextsKept = 20000;  // sessions remembered in each of two generations
 
 constexpr TimerKey kSweepKey = 1, kProbeKey = 2, kListKey = 3;
@@ -114,7 +116,8 @@
     for (auto* at : {&born_, &full_at_, &shut_until_, &cold_filled_}) at->resize(servers_);
     shut_for_.resize(servers_);
     for (auto* figure : {&memory_, &unread_, &streams_, &reported_memory_, &reported_unread_, &sent_unread_,
-                         &sent_streams_, &badness_, &pace_, &keep_rate_, &cold_level_})
+                         &sent_streams_, &newer_unread_, &newer_streams_, &badness_, &pace_, &keep_rate_,
+                         &cold_level_})
         figure->resize(servers_);
     out_.resize(servers_);
     paced_.resize(servers_);
@@ -128,7 +131,8 @@
     shut_until_[s] = host_.now();
     shut_for_[s] = {};
     reported_memory_[s] = reported_unread_[s] = -1;
-    unread_[s] = streams_[s] = sent_unread_[s] = sent_streams_[s] = badness_[s] = pace_[s] = 0;
+    unread_[s] = streams_[s] = sent_unread_[s] = sent_streams_[s] = newer_unread_[s] = newer_streams_[s] =
+        badness_[s] = pace_[s] = 0;
     keep_rate_[s] = 1;
     out_[s] = paced_[s] = unbegun_[s] = 0;
     // A random start lets many gateways together send what one rate allows, even where each may send less than one.
@@ -264,15 +268,18 @@
     }
 }
 
+// A report may be asked for more often than it is made: the same figure again is the same report, and what was sent
+// before the last answer that still held the old one is in the new one at the earliest.
 void Rules::note_report(ServerIndex s, const LoadReport& report) {
-    if (report.memory_share >= 0) {
-        reported_memory_[s] = report.memory_share;
-        sent_streams_[s] = 0;
-    }
-    if (report.unread_thousands >= 0) {
-        reported_unread_[s] = report.unread_thousands * 1000;
-        sent_unread_[s] = 0;
-    }
+    const auto take = [](double told, double& held, double& since, double& newer) {
+        if (told < 0) return;
+        if (told != held) since = newer;
+        held = told;
+        newer = 0;
+    };
+    take(report.memory_share, reported_memory_[s], sent_streams_[s], newer_streams_[s]);
+    take(report.unread_thousands < 0 ? -1 : report.unread_thousands * 1000, reported_unread_[s], sent_unread_[s],
+         newer_unread_[s]);
 }
 
 // ---- the two choices
@@ -413,15 +420,15 @@
     return paced_[s] > 0 ? kMs * (pace_[s] * tokens) : Span{0};
 }
 
-// The usual wait for a first token among the writers, as far as this gateway has launches out that tell of it.
+// The shortest wait for a first token among the writers, as far as this gateway has launches out that tell of it.
 Span Rules::first_wait() const {
-    double sum = 0, writers = 0;
+    double least = -1;
     for (ServerIndex s = 0; s < servers_; ++s) {
         if (!writes(s) || !is_open(s)) continue;
-        sum += unbegun_[s] > 0 ? pace_[s] : 0;
-        ++writers;
+        const double wait = unbegun_[s] > 0 ? pace_[s] : 0;
+        if (least < 0 || wait < least) least = wait;
     }
-    return kMs * (writers > 0 ? sum / writers : 0.0);
+    return kMs * std::max(0.0, least);
 }
 
 // ---- launches
@@ -441,6 +448,7 @@
         q.read_tokens = q.facts.prompt_tokens - expected_kept(q, s);
         unread_[s] += q.read_tokens;
         sent_unread_[s] += q.read_tokens;
+        newer_unread_[s] += q.read_tokens;
         q.queued_tokens = unread_[s];
     } else {
         ++unbegun_[s];
@@ -449,6 +457,7 @@
         q.stream_tokens = stream_estimate(q);
         streams_[s] += q.stream_tokens;
         sent_streams_[s] += q.stream_tokens;
+        newer_streams_[s] += q.stream_tokens;
     }
     if (is_cold(s)) {
         const Learned& mine = work_of_category_[q.facts.category];
@@ -519,8 +528,8 @@
     ServerIndex s = 0;
     if (!pick_reader(q, s)) return false;
     // Against jams: a read that would end past the latency goal only makes those behind it late as well.
-    const Span wait = (out_[s] > 0 ? read_wait(q, s) : Span{0}) + first_wait();
-    if (wait.us > 0 && host_.now() + wait > q.came + (q.goal - q.came) * kFillGoal) return false;
+    if (out_[s] > 0 && host_.now() + read_wait(q, s) + first_wait() > q.came + (q.goal - q.came) * kFillGoal)
+        return false;
     send(i, s, true);
     return true;
 }
@@ -767,15 +776,17 @@
 // Where load is told by probes alone, as many as the price of a probe lets be worth it.
 void Rules::probe_round() {
     refill_cold();
-    double asked = 0;
+    double asked = 0, tight = 0;
     for (ServerIndex s = 0; s < servers_; ++s) {
         if (!ready(s)) continue;
         if (!((terms_.reports_memory && writes(s)) || (terms_.reports_unread && reads(s)))) continue;
         host_.probe(s);
         ++asked;
+        tight = std::max(tight, reported_memory_[s]);
     }
     const double rate = std::max(arrivals_ / kRateWindowS, 0.5);
-    const double wait = std::clamp(asked * terms_.probe_fee / (kProbeSpend * rate), 0.25, 5.0);
+    const double spend = tight > kTightShare ? kProbeSpendTight : kProbeSpend;
+    const double wait = std::clamp(asked * terms_.probe_fee / (spend * rate), 0.2, 5.0);
     host_.set_timer(kMs * (wait * 1000.0), kProbeKey);
 }
 
--- a/src/rules.h
+++ b/src/rules.h
@@ -161,7 +161,8 @@
     std::vector<Instant> born_, full_at_, shut_until_, cold_filled_;
     std::vector<Span> shut_for_;
     std::vector<double> memory_, unread_, streams_, reported_memory_, reported_unread_, sent_unread_,
-        sent_streams_, badness_, pace_, keep_rate_, cold_level_;
+        sent_streams_, newer_unread_,
+        newer_streams_, badness_, pace_, keep_rate_, cold_level_;
     std::vector<std::uint32_t> out_, paced_, unbegun_;
 
     Learned prompt_, read_time_, first_time_;
