--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -47,6 +47,7 @@
 
 // The part of the latency goal that the expected read and first token may fill; the rest is for their spread.
 constexpr double kFillGoal = 0.6;
+constexpr double kQueueGoal = 0.3;  // and of the shortest goal that what is queued before it may take
 
 constexpr double kRateWindowS = 10.0;
 constexpr double kStrained = 0.8;        // first-token time over the latency goal
@@ -96,6 +97,8 @@
       share_level_(terms.quotas.size()),
       share_filled_(terms.quotas.size(), host.now()) {
     counted_at_ = host_.now();
+    for (const Category& c : terms_.categories)
+        if (least_goal_.us == 0 || c.latency_goal < least_goal_) least_goal_ = c.latency_goal;
     for (std::size_t g = 0; g < terms_.quotas.size(); ++g)
         share_level_[g] = terms_.quotas[g] / terms_.gateways * kShareBurstS;
     if (terms_.ask_for_list) host_.subscribe();
@@ -528,8 +531,13 @@
     ServerIndex s = 0;
     if (!pick_reader(q, s)) return false;
     // Against jams: a read that would end past the latency goal only makes those behind it late as well.
-    if (out_[s] > 0 && host_.now() + read_wait(q, s) + first_wait() > q.came + (q.goal - q.came) * kFillGoal)
-        return false;
+    // Nor may the patient fill a reader so far that no query of the most impatient category could pass.
+    if (out_[s] > 0) {
+        const Span wait = read_wait(q, s) + first_wait();
+        const Span ahead = kMs * (pace_[s] * unread_[s]);
+        if (host_.now() + wait > q.came + (q.goal - q.came) * kFillGoal || ahead > least_goal_ * kQueueGoal)
+            return false;
+    }
     send(i, s, true);
     return true;
 }
--- a/src/rules.h
+++ b/src/rules.h
@@ -168,6 +168,7 @@
     Learned prompt_, read_time_, first_time_;
     std::vector<Learned> work_of_category_;
     Learned work_;
+    Span least_goal_;  // the shortest latency goal of any category
     double strain_ = 0;
     double reads_done_ = 0, writes_done_ = 0, arrivals_ = 0;
     Instant counted_at_;
