--- a/src/rules.h
+++ b/src/rules.h
@@ -124,7 +124,8 @@
     void note_good(ServerIndex s);
     void note_bad(ServerIndex s, bool at_once);
     void note_pace(ServerIndex s, double pace, bool judge);
-    Span read_wait(const Query& q, ServerIndex s) const;
+    void note_read(ServerIndex s, Span took, double queued);
+    Span read_wait(ServerIndex s, double tokens) const;
     Span first_wait() const;
     void note_report(ServerIndex s, const LoadReport& report);
     void remember_read(const Query& q, ServerIndex s, double kept);
@@ -162,7 +163,7 @@
     std::vector<Span> shut_for_;
     std::vector<double> memory_, unread_, streams_, reported_memory_, reported_unread_, sent_unread_,
         sent_streams_, newer_unread_,
-        newer_streams_, badness_, pace_, keep_rate_, cold_level_;
+        newer_streams_, badness_, pace_, quick_pace_, lag_, keep_rate_, cold_level_;
     std::vector<std::uint32_t> out_, paced_, unbegun_;
 
     Learned prompt_, read_time_, first_time_;
