--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -23,7 +23,7 @@
 // Settled by the design.
 constexpr double kRoomShare = 0.9;
 constexpr Span kFullFor = kMs * 1000;
-constexpr double kKeptMargin = 1.0;  // typical prompts
+constexpr double kKeptMargin = 2.0;  // typical prompts
 
 // Left open by the design: what counts as a tie. Gateways see only their own traffic, so two loads that differ by
 // less than these say nothing of which server is the less busy; the shorter way is then worth more.
@@ -33,7 +33,6 @@
 // Health. Two plain failures in a row shut a server out; the time out doubles up to a bound so that a server that
 // has come back is found within the span of a common outage.
 constexpr double kLearn = 0.3;
-constexpr double kForget = 0.02;
 constexpr double kShutAt = 0.5;
 constexpr Span kShutFirst = kMs * 1000;
 constexpr Span kShutMost = kMs * 8000;
@@ -117,7 +116,7 @@
     for (auto* at : {&born_, &full_at_, &shut_until_, &cold_filled_}) at->resize(servers_);
     shut_for_.resize(servers_);
     for (auto* figure : {&memory_, &unread_, &streams_, &reported_memory_, &reported_unread_, &sent_unread_,
-                         &sent_streams_, &newer_unread_, &newer_streams_, &badness_, &pace_, &quick_pace_, &lag_, &keep_rate_,
+                         &sent_streams_, &newer_unread_, &newer_streams_, &badness_, &pace_, &keep_rate_,
                          &cold_level_})
         figure->resize(servers_);
     out_.resize(servers_);
@@ -133,7 +132,7 @@
     shut_for_[s] = {};
     reported_memory_[s] = reported_unread_[s] = -1;
     unread_[s] = streams_[s] = sent_unread_[s] = sent_streams_[s] = newer_unread_[s] = newer_streams_[s] =
-        badness_[s] = pace_[s] = quick_pace_[s] = lag_[s] = 0;
+        badness_[s] = pace_[s] = 0;
     keep_rate_[s] = 1;
     out_[s] = paced_[s] = unbegun_[s] = 0;
     // A random start lets many gateways together send what one rate allows, even where each may send less than one.
@@ -415,18 +414,10 @@
     return false;
 }
 
-// What a read of these tokens sent now would take: the reader's own speed, which the quickest reads tell, for all
-// that this gateway has queued there, and on top what reads took longer of late, which is other gateways' work.
-Span Rules::read_wait(ServerIndex s, double tokens) const {
-    return kMs * (quick_pace_[s] * (unread_[s] + tokens + kLeastRead * prompt_.mean) + lag_[s]);
-}
-
-void Rules::note_read(ServerIndex s, Span took, double queued) {
-    const double tokens = queued + kLeastRead * prompt_.mean;
-    const double pace = took.ms() / tokens;
-    quick_pace_[s] += (paced_[s] == 0 ? 1.0 : pace < quick_pace_[s] ? kLearn : kForget) * (pace - quick_pace_[s]);
-    lag_[s] += kLearn * (std::max(0.0, took.ms() - quick_pace_[s] * tokens) - lag_[s]);
-    note_pace(s, pace, true);
+// What a read sent now would take, by what reads took here of late for each token that this gateway had queued.
+Span Rules::read_wait(const Query& q, ServerIndex s) const {
+    const double tokens = unread_[s] + q.facts.prompt_tokens - expected_kept(q, s) + kLeastRead * prompt_.mean;
+    return paced_[s] > 0 ? kMs * (pace_[s] * tokens) : Span{0};
 }
 
 // The shortest wait for a first token among the writers, as far as this gateway has launches out that tell of it.
@@ -537,8 +528,7 @@
     ServerIndex s = 0;
     if (!pick_reader(q, s)) return false;
     // Against jams: a read that would end past the latency goal only makes those behind it late as well.
-    if (out_[s] > 0 && host_.now() + read_wait(s, q.facts.prompt_tokens - expected_kept(q, s)) + first_wait() >
-                           q.came + (q.goal - q.came) * kFillGoal)
+    if (out_[s] > 0 && host_.now() + read_wait(q, s) + first_wait() > q.came + (q.goal - q.came) * kFillGoal)
         return false;
     send(i, s, true);
     return true;
@@ -697,7 +687,7 @@
     if (e == Ending::read) {
         reads_done_ += 1;
         learn(read_time_, outcome.took.ms());
-        note_read(s, outcome.took, q.queued_tokens);
+        note_pace(s, outcome.took.ms() / (q.queued_tokens + kLeastRead * prompt_.mean), true);
         remember_read(q, s, outcome.kept_tokens);
     }
     if (e == Ending::late) learn(at_reader ? read_time_ : first_time_, outcome.took.ms());
--- a/src/rules.h
+++ b/src/rules.h
@@ -124,8 +124,7 @@
     void note_good(ServerIndex s);
     void note_bad(ServerIndex s, bool at_once);
     void note_pace(ServerIndex s, double pace, bool judge);
-    void note_read(ServerIndex s, Span took, double queued);
-    Span read_wait(ServerIndex s, double tokens) const;
+    Span read_wait(const Query& q, ServerIndex s) const;
     Span first_wait() const;
     void note_report(ServerIndex s, const LoadReport& report);
     void remember_read(const Query& q, ServerIndex s, double kept);
@@ -163,13 +162,12 @@
     std::vector<Span> shut_for_;
     std::vector<double> memory_, unread_, streams_, reported_memory_, reported_unread_, sent_unread_,
         sent_streams_, newer_unread_,
-        newer_streams_, badness_, pace_, quick_pace_, lag_, keep_rate_, cold_level_;
+        newer_streams_, badness_, pace_, keep_rate_, cold_level_;
     std::vector<std::uint32_t> out_, paced_, unbegun_;
 
     Learned prompt_, read_time_, first_time_;
     std::vector<Learned> work_of_category_;
     Learned work_;
-    Span least_goal_;  // the shortest latency goal of any category
     double strain_ = 0;
     double reads_done_ = 0, writes_done_ = 0, arrivals_ = 0;
     Instant counted_at_;
