--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -23,7 +23,7 @@
 // Settled by the design.
 constexpr double kRoomShare = 0.9;
 constexpr Span kFullFor = kMs * 1000;
-constexpr double kKeptMargin = 2.0;  // typical prompts
+constexpr double kKeptMargin = 1.0;  // typical prompts
 
 // Left open by the design: what counts as a tie. Gateways see only their own traffic, so two loads that differ by
 // less than these say nothing of which server is the less busy; the shorter way is then worth more.
@@ -365,7 +365,7 @@
         for (const KeptText* t : {find_text(sessions_, older_sessions_, q.facts.session),
                                   find_text(beginnings_, older_beginnings_, q.facts.beginning)}) {
             if (!t || t->life != life_[t->reader] || !fit(t->reader)) continue;
-            if (reader_load(t->reader) > least + kKeptMargin * typical) continue;
+            if (reader_load(t->reader) > least + kKeptMargin * typical + expected_kept(q, t->reader)) continue;
             best = t->reader;
             return true;
         }
