--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -1,2 +1,433 @@
-#include <cassert>
-int main() {}
+// Short stories of what a gateway meets, one for each kind of trouble.
+#include "fake_host.h"
+
+using namespace copperfront;
+
+namespace {
+
+bool is_reader(ServerIndex s) { return s < 2; }
+bool is_writer(ServerIndex s) { return s >= 2; }
+
+void blind_path_goes_to_least_queued_reader_then_least_laden_writer() {
+    Story t;
+    t.start();
+    const QueryIndex a = t.arrive(4000);
+    assert(t.last().server == 0);  // a tie goes to the gateway's zone
+    const QueryIndex b = t.arrive(1000);
+    assert(t.last().server == 1);
+    t.ended(a, Ending::read, 0);
+    assert(t.last().query == a && t.last().server == 2);  // a tie goes to the reader's cell
+    t.ended(b, Ending::read, 1);
+    assert(t.last().query == b && t.last().server == 3);
+    const QueryIndex c = t.read_one(1000);
+    assert(t.last().query == c && t.last().server == 3);  // 4,100 own tokens on the one, 1,100 on the other
+}
+
+void reported_path_goes_to_most_free_memory_less_own_streams() {
+    Story t;
+    t.terms.reports_memory = t.terms.reports_unread = true;
+    t.start();
+    t.report(2, 0.50);
+    t.report(3, 0.40);
+    t.report(0, -1, 20.0);
+    t.report(1, -1, 2.0);
+    const QueryIndex a = t.arrive(9000);
+    assert(t.last().server == 1);
+    t.ended(a, Ending::read);
+    assert(t.last().server == 3);
+    const QueryIndex b = t.arrive(1000);
+    t.ended(b, Ending::read);
+    assert(t.last().server == 3);  // 60,000 - 9,100 is still more than 50,000
+    t.report(3, 0.55);
+    const QueryIndex c = t.arrive(1000);
+    t.ended(c, Ending::read);
+    assert(t.last().server == 2);
+}
+
+void each_stage_goes_by_its_own_reports() {
+    Story t;
+    t.terms.reports_memory = true;
+    t.start();
+    t.report(2, 0.9);
+    t.report(3, 0.1);
+    t.arrive(4000);
+    assert(t.last().server == 0);
+    const QueryIndex b = t.arrive(1000);
+    assert(t.last().server == 1);  // own unread tokens, as none are reported
+    t.ended(b, Ending::read);
+    assert(t.last().server == 3);
+}
+
+void same_report_again_does_not_wipe_own_streams() {
+    Story t;
+    t.terms.reports_memory = true;
+    t.start();
+    t.report(2, 0.50);
+    t.report(3, 0.41);
+    t.read_one(8000);
+    assert(t.last().server == 3);
+    t.report(3, 0.41);
+    t.read_one(1000);
+    assert(t.last().server == 2);
+}
+
+void kept_text_draws_a_session_back_within_one_prompt() {
+    Story t;
+    t.start();
+    const QueryIndex a = t.arrive(1000, 77);
+    const ServerIndex home = t.last().server;
+    t.ended(a, Ending::read);
+    t.settle(a);
+    t.arrive(900, 5);  // lies at the zone's reader, which is home
+    assert(t.last().server == home);
+    t.arrive(1100, 77);
+    assert(t.last().server == home);
+    t.arrive(9000, 6);
+    assert(t.last().server != home);  // 1,000 and more tokens against none, and nothing kept
+}
+
+void hold_is_before_the_read_while_no_writer_shows_room() {
+    Story t;
+    t.terms.reports_memory = true;
+    t.start();
+    t.report(2, 0.95);
+    t.report(3, 0.95);
+    const QueryIndex a = t.arrive();
+    assert(t.sent() == 0);
+    t.pass(ms(100));
+    t.report(3, 0.5);
+    assert(t.sent() == 1 && t.last().query == a && is_reader(t.last().server));
+}
+
+void full_writers_hold_reads_for_a_second_and_a_lost_state_does_not() {
+    Story t;
+    t.start();
+    const QueryIndex a = t.read_one();
+    t.ended(a, Ending::full, t.last().server);
+    assert(t.last().query == a && is_writer(t.last().server));  // the state still waits: the other writer
+    t.ended(a, Ending::full, t.last().server);
+    const std::size_t before = t.sent();
+    t.arrive();
+    assert(t.sent() == before);
+    t.pass(ms(1100));
+    assert(t.sent() > before);
+
+    Story u;
+    u.start();
+    const QueryIndex b = u.read_one();
+    u.ended(b, Ending::full, u.last().server, true);
+    assert(u.host.declined.empty());
+    u.pass(ms(10));
+    assert(u.last().query == b && is_reader(u.last().server));  // read anew, as a further launch
+    const QueryIndex c = u.arrive();
+    assert(u.last().query == c);  // and no writer counts as full
+}
+
+void full_reader_is_passed_over_and_says_nothing_of_writers() {
+    Story t;
+    t.start();
+    const QueryIndex a = t.arrive();
+    const ServerIndex first = t.last().server;
+    t.ended(a, Ending::full);
+    t.pass(ms(10));
+    assert(t.sent() == 2 && t.last().query == a && is_reader(t.last().server) && t.last().server != first);
+    t.ended(a, Ending::full);
+    t.pass(ms(100));
+    assert(t.sent() == 2);  // both full: no hammering
+}
+
+void no_room_lets_go_of_the_state_in_time() {
+    Story t;
+    t.terms.max_launches = 3;
+    t.start();
+    const QueryIndex a = t.read_one();
+    t.ended(a, Ending::full, t.last().server);
+    t.ended(a, Ending::full, t.last().server);
+    const Instant from = t.host.clock;
+    while (t.host.released.empty()) {
+        t.pass(ms(10));
+        assert(t.host.clock - from < ms(900));
+    }
+    assert(t.host.declined.size() == 1 && t.host.stay_away > Span{0});
+}
+
+void reader_lost_before_the_fetch_means_a_new_read() {
+    Story t;
+    t.start();
+    const QueryIndex a = t.read_one();
+    t.list_again(0, Standing::ready, t.host.clock);  // same id, new process
+    t.ended(a, Ending::error, t.last().server);
+    assert(!t.host.released.empty());
+    t.pass(ms(10));
+    assert(t.last().query == a && t.last().server == 1);
+}
+
+void stream_that_breaks_is_over() {
+    Story t;
+    t.start();
+    const QueryIndex a = t.read_one();
+    const std::size_t before = t.sent();
+    t.rules->stream_began(a, ms(20));
+    t.ended(a, Ending::broken, t.last().server, false, true);
+    t.pass(ms(6000));
+    assert(t.sent() == before && t.host.declined.empty() && t.host.given_up.empty());
+}
+
+void query_that_left_lets_go_of_what_its_read_brings() {
+    Story t;
+    t.start();
+    const QueryIndex a = t.arrive();
+    t.rules->query_left(a);
+    assert(t.host.retracted.size() == 1);
+    const std::size_t before = t.host.released.size();
+    t.ended(a, Ending::read);
+    assert(t.host.released.size() == before + 1 && t.sent() == 1);
+}
+
+void query_that_left_with_a_waiting_state_lets_go_at_once() {
+    Story t;
+    t.start();
+    const QueryIndex a = t.read_one();
+    t.ended(a, Ending::full, t.last().server);
+    t.ended(a, Ending::full, t.last().server);
+    assert(t.host.released.empty());
+    t.rules->query_left(a);
+    assert(t.host.released.size() == 1);
+}
+
+void held_query_is_answered_before_its_hard_stop() {
+    Story t;
+    t.start();
+    const QueryIndex a = t.read_one();
+    t.ended(a, Ending::full, t.last().server);
+    t.ended(a, Ending::full, t.last().server);
+    const QueryIndex b = t.arrive(1000, 0, ms(300));
+    const std::size_t before = t.sent();
+    t.pass(ms(300));
+    assert(t.sent() == before);
+    assert(std::find(t.host.declined.begin(), t.host.declined.end(), b) != t.host.declined.end());
+}
+
+void late_launch_without_an_answer_is_answered() {
+    Story t;
+    t.start();
+    const QueryIndex a = t.arrive(1000, 0, ms(500));
+    t.host.clock = t.host.clock + ms(500);
+    t.ended(a, Ending::late);
+    assert(t.host.declined.size() == 1 && t.sent() == 1);
+    t.pass(ms(1000));
+    assert(t.host.declined.size() == 1);  // and once only
+}
+
+void draining_servers_get_nothing_new_but_their_states_are_fetched() {
+    Story t;
+    t.start();
+    const QueryIndex a = t.arrive();
+    t.list_again(0, Standing::draining);
+    t.list_again(2, Standing::draining);
+    t.ended(a, Ending::read, 0);
+    assert(t.last().query == a && t.last().server == 3);
+    for (int i = 0; i < 8; ++i) {
+        t.arrive(8000);
+        assert(t.last().server == 1);
+    }
+    t.list_again(1, Standing::gone);
+    const std::size_t before = t.sent();
+    t.arrive();
+    assert(t.sent() == before);
+}
+
+void list_left_out_is_gone() {
+    Story t;
+    t.start();
+    t.rules->list_arrived(std::vector<Listing>{t.list[1], t.list[3]}, true);
+    t.read_one();
+    assert(t.last().server == 3);
+}
+
+void cold_server_gets_no_more_than_this_gateways_part() {
+    Story t;
+    t.terms.gateways = 3;
+    t.list[0].born = t.host.clock;
+    t.start();
+    for (int i = 0; i < 40; ++i) {  // knows nothing yet: all go to the warm reader
+        const QueryIndex q = t.arrive();
+        assert(t.last().server == 1);
+        t.ended(q, Ending::read);
+        t.settle(q);
+    }
+    int cold = 0, all = 0;
+    for (int i = 0; i < 100; ++i) {
+        t.pass(ms(50));
+        const QueryIndex q = t.arrive();
+        cold += t.last().server == 0;
+        ++all;
+        t.ended(q, Ending::read);
+        t.settle(q);
+    }
+    // 2.5 x 0.25 of what the warm reader carries, and then some way below it
+    assert(cold > 0 && cold < all * 0.625 / 1.625);
+}
+
+void restart_with_a_stale_list_keeps_nothing_of_the_old_process() {
+    Story t;
+    t.start();
+    const QueryIndex a = t.arrive(6000, 9);
+    assert(t.last().server == 0);
+    t.ended(a, Ending::read, 0);
+    t.settle(a);
+    t.list_again(0, Standing::ready, {t.host.clock.us - 20'000'000});  // has restarted since, and is warm again
+    t.arrive(4000, 3);
+    const ServerIndex busy = t.last().server;
+    t.arrive(6100, 9);
+    assert(t.last().server != busy);  // nothing kept draws it back
+}
+
+void failing_server_is_shut_out_and_tried_again() {
+    Story t;
+    t.start();
+    int bad = 0;
+    for (int i = 0; i < 20; ++i) {
+        const QueryIndex q = t.arrive();
+        while (is_reader(t.last().server) && t.last().query == q) {
+            if (t.last().server == 0) {
+                ++bad;
+                t.ended(q, Ending::error);
+                t.pass(ms(5));
+            } else {
+                t.ended(q, Ending::read);
+            }
+        }
+        t.settle(q);
+    }
+    assert(bad >= 2 && bad <= 5);
+    t.pass(ms(9000));
+    const QueryIndex a = t.arrive();
+    assert(t.last().server == 0);  // one launch tries it
+    t.arrive();
+    assert(t.last().server == 1);
+    t.ended(a, Ending::read, 0);
+}
+
+void jammed_readers_hold_what_would_be_late() {
+    Story t;
+    t.start();
+    for (const ServerIndex s : {0U, 1U}) {
+        const QueryIndex q = t.arrive(1000);
+        Outcome slow;
+        slow.ending = Ending::read;
+        slow.took = ms(900);
+        t.rules->launch_ended(q, t.last().server, slow);
+        t.settle(q);
+        t.list_again(s, s == 0 ? Standing::draining : Standing::ready);
+    }
+    const std::size_t before = t.sent();
+    t.arrive(1000);
+    assert(t.sent() == before + 1);  // an idle reader is always tried
+    t.arrive(1000);
+    assert(t.sent() == before + 1);
+}
+
+void effectful_query_never_runs_twice() {
+    Story t(Effect::effectful);
+    t.start();
+    const QueryIndex a = t.arrive();
+    t.ended(a, Ending::error);  // at a reader: no effect
+    t.pass(ms(10));
+    t.ended(a, Ending::read);
+    const std::size_t before = t.sent();
+    t.ended(a, Ending::broken);
+    assert(t.sent() == before && t.host.given_up.size() == 1 && t.host.declined.empty());
+    const QueryIndex b = t.read_one();
+    t.ended(b, Ending::unreachable);
+    assert(t.last().query == b && is_writer(t.last().server));  // proves that it never ran
+}
+
+void effectful_query_at_its_hard_stop_is_given_up() {
+    Story t(Effect::effectful);
+    t.start();
+    t.read_one();
+    t.pass(ms(6000));
+    assert(t.host.given_up.size() == 1 && t.host.declined.empty());
+}
+
+void receipted_query_stays_in_its_group_and_window() {
+    Story t(Effect::receipted, Group::cell);
+    t.start();
+    const QueryIndex a = t.read_one();
+    const ServerIndex writer = t.last().server;
+    t.ended(a, Ending::error);
+    t.pass(ms(900));
+    for (const Launched& l : t.host.launches)
+        if (is_writer(l.server)) assert(l.server == writer);
+    t.pass(ms(6000));
+    assert(t.host.declined.empty() && t.host.given_up.size() == 1);
+}
+
+void further_launches_wait_behind_first_ones() {
+    Story t;
+    t.terms.reports_memory = true;
+    t.start();
+    t.report(2, 0.5);
+    t.report(3, 0.5);
+    const QueryIndex a = t.arrive();
+    t.report(2, 0.95);
+    t.report(3, 0.95);
+    t.ended(a, Ending::error);
+    const QueryIndex b = t.arrive();
+    assert(t.sent() == 1);
+    t.report(2, 0.5);
+    assert(t.sent() == 3 && t.host.launches[1].query == b && t.host.launches[2].query == a);
+}
+
+void mixed_server_reads_by_itself_where_there_is_no_reader() {
+    Story t;
+    t.list = {{0, 2, 0, 0, {}, Standing::ready}};
+    t.start();
+    const QueryIndex a = t.arrive();
+    assert(t.last().server == 0);
+    t.settle(a);
+    assert(t.sent() == 1 && t.host.declined.empty());
+}
+
+void list_that_must_be_asked_for_is_asked_for_again() {
+    Story t;
+    t.terms.ask_for_list = true;
+    t.start();
+    assert(t.host.subscribed == 1);
+    t.rules->list_missed();
+    t.pass(ms(1100));
+    assert(t.host.subscribed == 2);
+}
+
+}  // namespace
+
+int main() {
+    blind_path_goes_to_least_queued_reader_then_least_laden_writer();
+    reported_path_goes_to_most_free_memory_less_own_streams();
+    each_stage_goes_by_its_own_reports();
+    same_report_again_does_not_wipe_own_streams();
+    kept_text_draws_a_session_back_within_one_prompt();
+    hold_is_before_the_read_while_no_writer_shows_room();
+    full_writers_hold_reads_for_a_second_and_a_lost_state_does_not();
+    full_reader_is_passed_over_and_says_nothing_of_writers();
+    no_room_lets_go_of_the_state_in_time();
+    reader_lost_before_the_fetch_means_a_new_read();
+    stream_that_breaks_is_over();
+    query_that_left_lets_go_of_what_its_read_brings();
+    query_that_left_with_a_waiting_state_lets_go_at_once();
+    held_query_is_answered_before_its_hard_stop();
+    late_launch_without_an_answer_is_answered();
+    draining_servers_get_nothing_new_but_their_states_are_fetched();
+    list_left_out_is_gone();
+    cold_server_gets_no_more_than_this_gateways_part();
+    restart_with_a_stale_list_keeps_nothing_of_the_old_process();
+    failing_server_is_shut_out_and_tried_again();
+    jammed_readers_hold_what_would_be_late();
+    effectful_query_never_runs_twice();
+    effectful_query_at_its_hard_stop_is_given_up();
+    receipted_query_stays_in_its_group_and_window();
+    further_launches_wait_behind_first_ones();
+    mixed_server_reads_by_itself_where_there_is_no_reader();
+    list_that_must_be_asked_for_is_asked_for_again();
+}
