Try calling off launches at silent servers after a fifth of the latency goal

Cause: in a zone cut, launches on open connections hang until the hard stop, and nothing else is heard from those servers.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -41,6 +41,12 @@
 constexpr std::uint32_t kPaceSamples = 8;
 constexpr double kLeastRead = 0.1;  // typical prompts that a read costs even where all of it is kept
 
+// Silence: far past the usual, with a bound from the latency goal.
+constexpr double kSpreads = 6.0;
+constexpr std::uint64_t kUsualSamples = 20;
+constexpr double kSilentGoal = 0.2;
+constexpr Span kWatchEvery = kMs * 20;
+
 // Cold servers: the part of a full budget that is planned for, and how much of it may go at once.
 constexpr double kColdPart = 0.8;
 constexpr double kColdBurst = 0.35;
@@ -58,7 +64,7 @@
 constexpr double kTightShare = 0.7;
 constexpr std::size_t kTextsKept = 20000;  // sessions remembered in each of two generations
 
-constexpr TimerKey kSweepKey = 1, kProbeKey = 2, kListKey = 3;
+constexpr TimerKey kSweepKey = 1, kProbeKey = 2, kListKey = 3, kWatchKey = 4;
 constexpr TimerKey kQueryKeys = TimerKey{1} << 62;
 
 void learn(Learned& l, double sample) {
@@ -115,7 +121,7 @@
     zone_.resize(servers_);
     cell_.resize(servers_);
     life_.resize(servers_);
-    for (auto* at : {&born_, &full_at_, &shut_until_, &cold_filled_}) at->resize(servers_);
+    for (auto* at : {&born_, &full_at_, &shut_until_, &cold_filled_, &heard_at_}) at->resize(servers_);
     shut_for_.resize(servers_);
     for (auto* figure : {&memory_, &unread_, &streams_, &reported_memory_, &reported_unread_, &sent_unread_,
                          &sent_streams_, &newer_unread_, &newer_streams_, &badness_, &pace_, &keep_rate_,
@@ -442,6 +448,7 @@
     q.server = s;
     q.server_life = life_[s];
     q.out = true;
+    q.called_off = false;
     q.at_reader = role_[s] == Role::reader;
     q.sent = host_.now();
     q.state_life = reading ? life_[s] : q.state_life;
@@ -466,8 +473,12 @@
         const Learned& mine = work_of_category_[q.facts.category];
         cold_level_[s] -= work_.mean > 0 && mine.samples > 0 ? mine.mean / work_.mean : 1.0;
     }
-    // No shorter limit: in a jam every launch would run into it and its work be asked for again (docs/results.md).
+    // No shorter limit: in a jam every launch would run into it and its work be asked for again. See watch().
     host_.launch(i, s, q.hard_stop - host_.now());
+    if (!watch_set_ && terms_.cancel) {
+        watch_set_ = true;
+        host_.set_timer(std::max(kWatchEvery, terms_.quantum), kWatchKey);
+    }
 }
 
 // What was counted against the server of the launch that has ended; a process started since knows nothing of it.
@@ -654,6 +665,7 @@
 void Rules::stream_began(QueryIndex i, Span took) {
     Query& q = queries_[i];
     const ServerIndex s = q.server;
+    heard_at_[s] = host_.now();
     if (q.server_life == life_[s]) unread_[s] = std::max(0.0, unread_[s] - q.read_tokens);
     q.read_tokens = 0;
     if (q.stage == Stage::over) return;
@@ -684,6 +696,8 @@
     note_report(s, outcome.report);
 
     const Ending e = outcome.ending;
+    const bool local = e == Ending::retracted || e == Ending::late || e == Ending::unreachable || e == Ending::unsent;
+    if (!local) heard_at_[s] = host_.now();
     if (e == Ending::unreachable) note_bad(s, true);
     if (e == Ending::error || e == Ending::broken || e == Ending::late) note_bad(s, false);
     if (e == Ending::full && !outcome.no_state) full_at_[s] = host_.now();
@@ -774,6 +788,34 @@
     }
     if (key == kProbeKey) probe_round();
     if (key == kListKey) host_.subscribe();
+    if (key == kWatchKey) watch();
+}
+
+// Against servers that fall silent: cut links, a dead machine that the list still names, a process that hangs. A
+// launch is called off only when nothing at all has been heard from its server since it was sent, for far longer
+// than usual: a jammed server goes on answering others. It may hurt where a server has nothing else to answer.
+void Rules::watch() {
+    watch_set_ = false;
+    bool out = false;
+    for (QueryIndex i = 0; i < queries_.size(); ++i) {
+        Query& q = queries_[i];
+        const bool reading = q.stage == Stage::reading;
+        if (!q.out || q.called_off || (!reading && q.stage != Stage::writing)) continue;
+        const Category& c = terms_.categories[q.facts.category];
+        if (!q.at_reader && (c.effect != Effect::pure || !c.stream)) continue;
+        out = true;
+        const Learned& usual = reading ? read_time_ : first_time_;
+        if (usual.samples < kUsualSamples || heard_at_[q.server] > q.sent) continue;
+        const Span far = std::max(kMs * (usual.mean + kSpreads * usual.spread), (q.goal - q.came) * kSilentGoal);
+        if (host_.now() - q.sent < far) continue;
+        q.called_off = true;
+        note_bad(q.server, true);
+        host_.retract(i, q.launches - 1);
+    }
+    if (out) {
+        watch_set_ = true;
+        host_.set_timer(std::max(kWatchEvery, terms_.quantum), kWatchKey);
+    }
 }
 
 // Where load is told by probes alone, as many as the price of a probe lets be worth it.
@@ -794,6 +836,7 @@
 }
 
 void Rules::probe_answered(ServerIndex s, bool answered, const LoadReport& report) {
+    if (answered) heard_at_[s] = host_.now();
     if (answered) note_report(s, report);
     serve_lines();
 }
--- a/src/rules.h
+++ b/src/rules.h
@@ -66,6 +66,7 @@
     std::uint32_t server_life = 0;
     bool out = false;
     bool at_reader = false;
+    bool called_off = false;
     bool has_state = false;
     ServerIndex state_at = 0;
     std::uint32_t state_life = 0;
@@ -141,6 +142,7 @@
     void serve_lines();
     void serve_parked();
     void wake_soon(Span after);
+    void watch();
     void probe_round();
     bool over_share(const Query& q);
 
@@ -150,7 +152,7 @@
 
     std::vector<Query> queries_;
     std::deque<std::pair<QueryIndex, std::uint32_t>> first_line_, further_line_, parked_;
-    bool sweep_set_ = false;
+    bool sweep_set_ = false, watch_set_ = false;
     std::unordered_map<std::uint64_t, KeptText> sessions_, older_sessions_, beginnings_, older_beginnings_;
 
     std::size_t servers_ = 0;
@@ -158,7 +160,7 @@
     std::vector<Standing> standing_;
     std::vector<std::uint16_t> zone_;
     std::vector<std::uint32_t> cell_, life_;
-    std::vector<Instant> born_, full_at_, shut_until_, cold_filled_;
+    std::vector<Instant> born_, full_at_, shut_until_, cold_filled_, heard_at_;
     std::vector<Span> shut_for_;
     std::vector<double> memory_, unread_, streams_, reported_memory_, reported_unread_, sent_unread_,
         sent_streams_, newer_unread_,
