--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -43,7 +43,7 @@
 
 // Silence: far past the usual, with a bound from the latency goal.
 constexpr double kSpreads = 6.0;
-constexpr double kSilentReads = 4.0;  // times the read that its tokens let expect
+constexpr double kSilentFactor = 4.0;  // against what the same server took of late
 constexpr std::uint64_t kUsualSamples = 20;
 constexpr double kSilentGoal = 0.5;
 constexpr Span kWatchEvery = kMs * 20;
@@ -807,12 +807,12 @@
         out = true;
         const Learned& usual = reading ? read_time_ : first_time_;
         if (usual.samples < kUsualSamples || heard_at_[q.server] > q.sent) continue;
-        const double read = reading ? kSilentReads * pace_[q.server] * (q.queued_tokens + kLeastRead * prompt_.mean) : 0;
-        const Span far = std::max(kMs * std::max(read, usual.mean + kSpreads * usual.spread),
+        const double of_late = pace_[q.server] * (reading ? q.queued_tokens + kLeastRead * prompt_.mean : 1.0);
+        const Span far = std::max(kMs * std::max(kSilentFactor * of_late, usual.mean + kSpreads * usual.spread),
                                   (q.goal - q.came) * kSilentGoal);
         if (host_.now() - q.sent < far) continue;
         q.called_off = true;
-        note_bad(q.server, true);
+        note_bad(q.server, false);
         host_.retract(i, q.launches - 1);
     }
     if (out) {
