Count own streams sent since the report in a writer's room

Cause: between two reports a writer was filled past nine tenths, and answers were preempted and read anew. Kept; it is the design's own estimate of room, held against the design's nine tenths.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -345,7 +345,9 @@
 }
 
 bool Rules::shows_room(ServerIndex s) const {
-    if (terms_.reports_memory && reported_memory_[s] > kRoomShare) return false;
+    if (terms_.reports_memory && reported_memory_[s] >= 0 && memory_[s] > 0 &&
+        reported_memory_[s] + sent_streams_[s] / memory_[s] > kRoomShare)
+        return false;
     return host_.now() - full_at_[s] >= kFullFor;
 }
 
