Let kept prompts fill more of the latency goal than unkept ones

Cause: in a jam a prompt read whole costs the readers several kept ones. A gateway that has just restarted knows of no kept text and holds too much; next: a milder figure.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -54,6 +54,7 @@
 
 // The part of the latency goal that the expected read and first token may fill; the rest is for their spread.
 constexpr double kFillGoal = 0.6;
+constexpr double kFillUnkept = 0.5;  // and of that for a prompt of which nothing is kept
 
 constexpr double kRateWindowS = 10.0;
 constexpr double kStrained = 0.4;        // first-token time over the latency goal
@@ -544,8 +545,10 @@
     ServerIndex s = 0;
     if (!pick_reader(q, s)) return false;
     // Against jams: a read that would end past the latency goal only makes those behind it late as well.
-    if (out_[s] > 0 && host_.now() + read_wait(q, s) + first_wait() > q.came + (q.goal - q.came) * kFillGoal)
-        return false;
+    // What was kept for the most part passes more easily: it costs the jam least for the same gain.
+    const double kept = q.facts.prompt_tokens > 0 ? expected_kept(q, s) / q.facts.prompt_tokens : 0;
+    const double fill = kFillGoal * (kFillUnkept + (1 - kFillUnkept) * kept);
+    if (out_[s] > 0 && host_.now() + read_wait(q, s) + first_wait() > q.came + (q.goal - q.came) * fill) return false;
     send(i, s, true);
     return true;
 }
