Take the usual kept share for texts that this gateway has never met

Cause: after a restart a gateway knows of no kept text, and took every prompt for a whole read. Also covers new sessions with a beginning that another gateway has had read; it hurts where a beginning is new to the whole fleet.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -54,7 +54,7 @@
 
 // The part of the latency goal that the expected read and first token may fill; the rest is for their spread.
 constexpr double kFillGoal = 0.6;
-constexpr double kFillUnkept = 0.75;  // and of that for a prompt of which nothing is kept
+constexpr double kFillUnkept = 0.5;  // and of that for a prompt of which nothing is kept
 
 constexpr double kRateWindowS = 10.0;
 constexpr double kStrained = 0.4;        // first-token time over the latency goal
@@ -546,7 +546,10 @@
     if (!pick_reader(q, s)) return false;
     // Against jams: a read that would end past the latency goal only makes those behind it late as well.
     // What was kept for the most part passes more easily: it costs the jam least for the same gain.
-    const double kept = q.facts.prompt_tokens > 0 ? expected_kept(q, s) / q.facts.prompt_tokens : 0;
+    // A text never met here may lie anywhere, above all after a restart of this gateway: the usual share is taken.
+    const bool met = find_text(sessions_, older_sessions_, q.facts.session) ||
+                     find_text(beginnings_, older_beginnings_, q.facts.beginning);
+    const double kept = met ? expected_kept(q, s) / std::max(1.0, q.facts.prompt_tokens) : kept_share_.mean;
     const double fill = kFillGoal * (kFillUnkept + (1 - kFillUnkept) * kept);
     if (out_[s] > 0 && host_.now() + read_wait(q, s) + first_wait() > q.came + (q.goal - q.came) * fill) return false;
     send(i, s, true);
@@ -710,6 +713,7 @@
         reads_done_ += 1;
         learn(read_time_, outcome.took.ms());
         note_pace(s, outcome.took.ms() / (q.queued_tokens + kLeastRead * prompt_.mean), true);
+        learn(kept_share_, outcome.kept_tokens / std::max(1.0, q.facts.prompt_tokens));
         remember_read(q, s, outcome.kept_tokens);
     }
     if (e == Ending::late) learn(at_reader ? read_time_ : first_time_, outcome.took.ms());
--- a/src/rules.h
+++ b/src/rules.h
@@ -167,7 +167,7 @@
         newer_streams_, badness_, pace_, keep_rate_, cold_level_;
     std::vector<std::uint32_t> out_, paced_, unbegun_;
 
-    Learned prompt_, read_time_, first_time_;
+    Learned prompt_, read_time_, first_time_, kept_share_;
     std::vector<Learned> work_of_category_;
     Learned work_;
     double strain_ = 0;
