--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -129,6 +129,7 @@
                          &cold_level_})
         figure->resize(servers_);
     out_.resize(servers_);
+    lost_.resize(servers_);
     paced_.resize(servers_);
     unbegun_.resize(servers_);
 }
@@ -240,20 +241,22 @@
 
 // Against servers that answer fast with errors (and, with the fewest queued, would draw all traffic), that are gone
 // before the list says so, that fall silent or lose states. At once: no connection, where a second try would only
-// cost the same wait. Plain failures may shut out no more than half of a role, or the rest would drown.
-void Rules::note_bad(ServerIndex s, bool at_once) {
+// cost the same wait. Plain failures may shut out no more than half of what can be reached of a role, or the rest
+// would drown; what can't be reached counts on neither side, as a dead zone must not keep a failing server in.
+void Rules::note_bad(ServerIndex s, bool at_once, bool lost) {
     badness_[s] += kLearn * (1 - badness_[s]);
     if (at_once) badness_[s] = std::max(badness_[s], kShutAt + kLearn / 2);
     if (badness_[s] < kShutAt) return;
-    if (!at_once && shut_for_[s].us == 0) {
+    if (!lost && shut_for_[s].us == 0) {
         double peers = 0, shut = 0;
         for (ServerIndex o = 0; o < servers_; ++o) {
-            if (!ready(o) || role_[o] != role_[s]) continue;
+            if (!ready(o) || role_[o] != role_[s] || (shut_for_[o].us > 0 && lost_[o])) continue;
             ++peers;
             shut += shut_for_[o].us > 0;
         }
         if (shut + 1 > peers * kShutPart) return;
     }
+    lost_[s] = lost;
     if (shut_for_[s].us == 0) host_.log("server " + std::to_string(s) + " is shut out after failures");
     shut_for_[s] = shut_for_[s].us == 0 ? kShutFirst : std::min(kShutMost, shut_for_[s] * 2);
     shut_until_[s] = host_.now() + shut_for_[s];
@@ -271,7 +274,7 @@
         ++peers;
     }
     if (judge && paced_[s] >= kPaceSamples && peers > 0 && pace_[s] > kSlowFactor * sum / peers) {
-        note_bad(s, false);
+        note_bad(s, false, false);
     } else {
         note_good(s);
     }
@@ -706,8 +709,8 @@
     const Ending e = outcome.ending;
     const bool local = e == Ending::retracted || e == Ending::late || e == Ending::unreachable || e == Ending::unsent;
     if (!local) heard_at_[s] = host_.now();
-    if (e == Ending::unreachable) note_bad(s, true);
-    if (e == Ending::error || e == Ending::broken || e == Ending::late) note_bad(s, false);
+    if (e == Ending::unreachable || e == Ending::broken) note_bad(s, e == Ending::unreachable, true);
+    if (e == Ending::error || e == Ending::late) note_bad(s, false, false);
     if (e == Ending::full && !outcome.no_state) full_at_[s] = host_.now();
     if (e == Ending::read) {
         reads_done_ += 1;
@@ -742,7 +745,7 @@
         if (e == Ending::unsent || q.hard_stop <= host_.now() + terms_.quantum) {
             end(i, Span{0});
         } else if (reading || outcome.no_state) {
-            if (outcome.no_state && q.has_state) note_bad(q.state_at, false);
+            if (outcome.no_state && q.has_state) note_bad(q.state_at, false, false);
             q.has_state = false;
             retry_or_end(i);
         } else if (ran && terms_.categories[q.facts.category].effect == Effect::effectful) {
@@ -820,7 +823,7 @@
                                   (q.goal - q.came) * kSilentGoal);
         if (host_.now() - q.sent < far) continue;
         q.called_off = true;
-        note_bad(q.server, false);
+        note_bad(q.server, false, false);
         host_.retract(i, q.launches - 1);
     }
     if (out) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -123,7 +123,7 @@
     void forget(ServerIndex s);
     void refill_cold();
     void note_good(ServerIndex s);
-    void note_bad(ServerIndex s, bool at_once);
+    void note_bad(ServerIndex s, bool at_once, bool lost);
     void note_pace(ServerIndex s, double pace, bool judge);
     Span read_wait(const Query& q, ServerIndex s) const;
     Span first_wait() const;
@@ -165,6 +165,7 @@
     std::vector<double> memory_, unread_, streams_, reported_memory_, reported_unread_, sent_unread_,
         sent_streams_, newer_unread_,
         newer_streams_, badness_, pace_, keep_rate_, cold_level_;
+    std::vector<bool> lost_;
     std::vector<std::uint32_t> out_, paced_, unbegun_;
 
     Learned prompt_, read_time_, first_time_, kept_share_;
