--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -435,17 +435,16 @@
     return paced_[s] > 0 ? kMs * (pace_[s] * tokens) : Span{0};
 }
 
-// What the writer that would be chosen now takes for a first token, as far as this gateway has launches out that tell
-// of it: the usual of late, or the longest wait there so far, since a jam shows in the waits before it shows in the
-// first tokens.
-Span Rules::first_wait(const Query& q) const {
-    double most = -std::numeric_limits<double>::infinity(), wait = 0;
+// The least wait for a first token among the writers, as far as this gateway has launches out that tell of it: the
+// usual of late, or the longest so far, since a jam shows in the waits before it shows in the first tokens.
+Span Rules::first_wait() const {
+    double least = -1;
     for (ServerIndex s = 0; s < servers_; ++s) {
-        if (!writes(s) || !is_open(s) || !may_go(q, s) || !shows_room(s) || writer_room(s) <= most) continue;
-        most = writer_room(s);
-        wait = unbegun_[s] > 0 ? std::max(pace_[s], oldest_[s]) : 0;
+        if (!writes(s) || !is_open(s)) continue;
+        const double wait = unbegun_[s] > 0 ? std::max(pace_[s], oldest_[s]) : 0;
+        if (least < 0 || wait < least) least = wait;
     }
-    return kMs * wait;
+    return kMs * std::max(0.0, least);
 }
 
 // ---- launches
@@ -556,7 +555,7 @@
                      find_text(beginnings_, older_beginnings_, q.facts.beginning);
     const double kept = met ? expected_kept(q, s) / std::max(1.0, q.facts.prompt_tokens) : kept_share_.mean;
     const double fill = kFillGoal * (kFillUnkept + (1 - kFillUnkept) * kept);
-    if (out_[s] > 0 && host_.now() + read_wait(q, s) + first_wait(q) > q.came + (q.goal - q.came) * fill) return false;
+    if (out_[s] > 0 && host_.now() + read_wait(q, s) + first_wait() > q.came + (q.goal - q.came) * fill) return false;
     send(i, s, true);
     return true;
 }
--- a/src/rules.h
+++ b/src/rules.h
@@ -126,7 +126,7 @@
     void note_bad(ServerIndex s, bool at_once, bool lost);
     void note_pace(ServerIndex s, double pace, bool judge);
     Span read_wait(const Query& q, ServerIndex s) const;
-    Span first_wait(const Query& q) const;
+    Span first_wait() const;
     void note_report(ServerIndex s, const LoadReport& report);
     void remember_read(const Query& q, ServerIndex s, double kept);
 
