--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -125,7 +125,7 @@
     for (auto* at : {&born_, &full_at_, &shut_until_, &cold_filled_, &heard_at_}) at->resize(servers_);
     shut_for_.resize(servers_);
     for (auto* figure : {&memory_, &unread_, &streams_, &reported_memory_, &reported_unread_, &sent_unread_,
-                         &sent_streams_, &newer_unread_, &newer_streams_, &badness_, &pace_, &oldest_, &keep_rate_,
+                         &sent_streams_, &newer_unread_, &newer_streams_, &badness_, &pace_, &keep_rate_,
                          &cold_level_})
         figure->resize(servers_);
     out_.resize(servers_);
@@ -435,13 +435,12 @@
     return paced_[s] > 0 ? kMs * (pace_[s] * tokens) : Span{0};
 }
 
-// The least wait for a first token among the writers, as far as this gateway has launches out that tell of it: the
-// usual of late, or the longest so far, since a jam shows in the waits before it shows in the first tokens.
+// The shortest wait for a first token among the writers, as far as this gateway has launches out that tell of it.
 Span Rules::first_wait() const {
     double least = -1;
     for (ServerIndex s = 0; s < servers_; ++s) {
         if (!writes(s) || !is_open(s)) continue;
-        const double wait = unbegun_[s] > 0 ? std::max(pace_[s], oldest_[s]) : 0;
+        const double wait = unbegun_[s] > 0 ? pace_[s] : 0;
         if (least < 0 || wait < least) least = wait;
     }
     return kMs * std::max(0.0, least);
@@ -482,7 +481,7 @@
     }
     // No shorter limit: in a jam every launch would run into it and its work be asked for again. See watch().
     host_.launch(i, s, q.hard_stop - host_.now());
-    if (!watch_set_) {
+    if (!watch_set_ && terms_.cancel) {
         watch_set_ = true;
         host_.set_timer(std::max(kWatchEvery, terms_.quantum), kWatchKey);
     }
@@ -810,15 +809,13 @@
 void Rules::watch() {
     watch_set_ = false;
     bool out = false;
-    std::fill(oldest_.begin(), oldest_.end(), 0.0);
     for (QueryIndex i = 0; i < queries_.size(); ++i) {
         Query& q = queries_[i];
         const bool reading = q.stage == Stage::reading;
         if (!q.out || q.called_off || (!reading && q.stage != Stage::writing)) continue;
-        out = true;
-        oldest_[q.server] = std::max(oldest_[q.server], (host_.now() - q.sent).ms());
         const Category& c = terms_.categories[q.facts.category];
-        if (!terms_.cancel || (!q.at_reader && (c.effect != Effect::pure || !c.stream))) continue;
+        if (!q.at_reader && (c.effect != Effect::pure || !c.stream)) continue;
+        out = true;
         const Learned& usual = reading ? read_time_ : first_time_;
         if (usual.samples < kUsualSamples || heard_at_[q.server] > q.sent) continue;
         const double of_late = pace_[q.server] * (reading ? q.queued_tokens + kLeastRead * prompt_.mean : 1.0);
--- a/src/rules.h
+++ b/src/rules.h
@@ -164,7 +164,7 @@
     std::vector<Span> shut_for_;
     std::vector<double> memory_, unread_, streams_, reported_memory_, reported_unread_, sent_unread_,
         sent_streams_, newer_unread_,
-        newer_streams_, badness_, pace_, oldest_, keep_rate_, cold_level_;
+        newer_streams_, badness_, pace_, keep_rate_, cold_level_;
     std::vector<bool> lost_;
     std::vector<std::uint32_t> out_, paced_, unbegun_;
 
