--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -328,6 +328,74 @@
     assert(t.sent() == before + 1);
 }
 
+void silent_server_loses_its_launch_to_another() {
+    Story t;
+    t.start();
+    for (int i = 0; i < 25; ++i) t.settle(t.read_one());
+    const QueryIndex a = t.read_one();
+    const ServerIndex silent = t.last().server;
+    t.pass(ms(400));
+    assert(t.host.retracted.empty());
+    t.pass(ms(200));
+    assert(t.host.retracted.size() == 1 && t.host.retracted[0] == a);
+    t.ended(a, Ending::retracted, silent);
+    assert(t.last().query == a && is_writer(t.last().server) && t.last().server != silent);
+}
+
+void busy_server_is_not_taken_for_silent() {
+    Story t;
+    t.start();
+    for (int i = 0; i < 25; ++i) t.settle(t.read_one());
+    const QueryIndex a = t.read_one();
+    const ServerIndex busy = t.last().server;
+    t.pass(ms(400));
+    t.rules->probe_answered(busy, true, {});
+    t.pass(ms(400));
+    assert(t.host.retracted.empty());
+    t.rules->stream_began(a, ms(800));
+}
+
+void dead_zone_does_not_keep_a_failing_server_in() {
+    Story t;
+    for (ServerIndex s = 4; s < 8; ++s) t.list.push_back({s, 0, 1, 1, {}, Standing::ready});
+    t.start();
+    int sent_to_bad = 0;
+    for (int i = 0; i < 60; ++i) {
+        const QueryIndex q = t.arrive();
+        for (int n = 0; n < 5 && t.host.declined.empty() && t.last().query == q; ++n) {
+            const ServerIndex s = t.last().server;
+            if (is_writer(s) && s < 4) break;
+            sent_to_bad += s == 0;
+            t.ended(q, s >= 4 ? Ending::unreachable : s == 0 ? Ending::error : Ending::read);
+            t.pass(ms(5));
+        }
+        if (t.last().server == 2 || t.last().server == 3) t.settle(q);
+        t.host.declined.clear();
+    }
+    assert(sent_to_bad <= 5);
+}
+
+void late_days_decline_what_is_over_a_groups_share() {
+    Story t;
+    t.terms.quotas = {1.0};
+    t.start();
+    Arrival a;
+    a.client_group = 0;
+    a.prompt_tokens = 1000;
+    a.budget = ms(5000);
+    for (QueryIndex q = 0; q < 40; ++q) {
+        t.next = q + 1;
+        t.rules->query_arrived(q, a);
+        if (!t.host.declined.empty()) break;
+        t.ended(q, Ending::read);
+        t.host.clock = t.host.clock + ms(1100);
+        t.settle(q);
+    }
+    assert(t.host.declined.empty());  // within its share
+    for (QueryIndex q = 40; q < 50; ++q) t.rules->query_arrived(q, a);
+    assert(t.host.declined.size() >= 7);
+}
+
 void effectful_query_never_runs_twice() {
     Story t(Effect::effectful);
     t.start();
@@ -424,6 +492,10 @@
     restart_with_a_stale_list_keeps_nothing_of_the_old_process();
     failing_server_is_shut_out_and_tried_again();
     jammed_readers_hold_what_would_be_late();
+    silent_server_loses_its_launch_to_another();
+    busy_server_is_not_taken_for_silent();
+    dead_zone_does_not_keep_a_failing_server_in();
+    late_days_decline_what_is_over_a_groups_share();
     effectful_query_never_runs_twice();
     effectful_query_at_its_hard_stop_is_given_up();
     receipted_query_stays_in_its_group_and_window();
