--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -76,6 +76,14 @@
     l.spread += weight * ((l.samples == 1 ? sample / 2 : off) - l.spread);
 }
 
+// A number in [0, 1) for a text at a server (rendezvous hashing; the mixing steps are those of splitmix64).
+double lot(std::uint64_t text, ServerIndex s) {
+    std::uint64_t x = text + (std::uint64_t{s} + 1) * 0x9e3779b97f4a7c15ULL;
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+    return static_cast<double>((x ^ (x >> 31)) >> 11) / 9007199254740992.0;
+}
+
 double seconds(Span s) { return static_cast<double>(s.us) / 1e6; }
 
 template <class Map>
@@ -384,12 +392,14 @@
             best = t->reader;
             return true;
         }
+        // The lot falls the same at every gateway, and after a restart, so that a text is read where others left it.
+        const std::uint64_t text = q.facts.beginning != 0 ? q.facts.beginning : q.facts.session;
         double score = -1;
         for (ServerIndex s = 0; s < servers_; ++s) {
             if (!fit(s) || (!reads(s) && pass < 2)) continue;
             if (reader_load(s) > least + kReaderTie * typical) continue;
             const double mine = (zone_[s] == terms_.zone ? 2.0 : 0.0) +
-                                std::uniform_real_distribution<double>(0, 1)(chance_);
+                                (text != 0 ? lot(text, s) : std::uniform_real_distribution<double>(0, 1)(chance_));
             if (mine > score) {
                 score = mine;
                 best = s;
