--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -76,13 +76,8 @@
     l.spread += weight * ((l.samples == 1 ? sample / 2 : off) - l.spread);
 }
 
-// A number in [0, 1) for a text at a server (rendezvous hashing; the mixing steps are those of splitmix64).
-double lot(std::uint64_t text, ServerIndex s) {
-    std::uint64_t x = text + (std::uint64_t{s} + 1) * 0x9e3779b97f4a7c15ULL;
-    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-    return static_cast<double>((x ^ (x >> 31)) >> 11) / 9007199254740992.0;
-}
+// Beginnings are kept by many readers: one entry for the reader that read it last, one for each that has read it.
+std::uint64_t copy_at(std::uint64_t text, ServerIndex s) { return text ^ ((std::uint64_t{s} + 1) * 0x9e3779b97f4a7c15ULL); }
 
 double seconds(Span s) { return static_cast<double>(s.us) / 1e6; }
 
@@ -318,8 +313,9 @@
     double kept = 0;
     if (const KeptText* t = find_text(sessions_, older_sessions_, q.facts.session))
         if (t->reader == s && t->life == life_[s]) kept = t->tokens;
-    if (const KeptText* t = find_text(beginnings_, older_beginnings_, q.facts.beginning))
-        if (t->reader == s && t->life == life_[s]) kept = std::max(kept, q.facts.beginning_tokens);
+    if (q.facts.beginning != 0)
+        if (const KeptText* t = find_text(beginnings_, older_beginnings_, copy_at(q.facts.beginning, s)))
+            if (t->life == life_[s]) kept = std::max(kept, q.facts.beginning_tokens);
     return std::min(kept, q.facts.prompt_tokens) * keep_rate_[s];
 }
 
@@ -392,14 +388,12 @@
             best = t->reader;
             return true;
         }
-        // The lot falls the same at every gateway, and after a restart, so that a text is read where others left it.
-        const std::uint64_t text = q.facts.beginning != 0 ? q.facts.beginning : q.facts.session;
         double score = -1;
         for (ServerIndex s = 0; s < servers_; ++s) {
             if (!fit(s) || (!reads(s) && pass < 2)) continue;
             if (reader_load(s) > least + kReaderTie * typical) continue;
-            const double mine = (zone_[s] == terms_.zone ? 2.0 : 0.0) +
-                                (text != 0 ? lot(text, s) : std::uniform_real_distribution<double>(0, 1)(chance_));
+            const double mine = (zone_[s] == terms_.zone ? 4.0 : 0.0) + (expected_kept(q, s) > 0 ? 2.0 : 0.0) +
+                                std::uniform_real_distribution<double>(0, 1)(chance_);
             if (mine > score) {
                 score = mine;
                 best = s;
@@ -705,8 +699,10 @@
     keep_rate_[s] = std::max(keep_rate_[s], 0.05);
     if (q.facts.session != 0)
         keep_text(sessions_, older_sessions_, q.facts.session, {s, life_[s], q.facts.prompt_tokens});
-    if (q.facts.beginning != 0)
-        keep_text(beginnings_, older_beginnings_, q.facts.beginning, {s, life_[s], q.facts.beginning_tokens});
+    if (q.facts.beginning == 0) return;
+    const KeptText beginning{s, life_[s], q.facts.beginning_tokens};
+    keep_text(beginnings_, older_beginnings_, q.facts.beginning, beginning);
+    keep_text(beginnings_, older_beginnings_, copy_at(q.facts.beginning, s), beginning);
 }
 
 void Rules::launch_ended(QueryIndex i, ServerIndex s, const Outcome& outcome) {
