Count launches that have not begun in one place

Cause: a launch called off at the hard stop was never taken off the count of first tokens awaited, so that writer's wait counted for ever; a mixed server's count could wrap; and a writer shut out with streams running was not tried until they ended.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -76,9 +76,6 @@
     l.spread += weight * ((l.samples == 1 ? sample / 2 : off) - l.spread);
 }
 
-// Beginnings are kept by many readers: one entry for the reader that read it last, one for each that has read it.
-std::uint64_t copy_at(std::uint64_t text, ServerIndex s) { return text ^ ((std::uint64_t{s} + 1) * 0x9e3779b97f4a7c15ULL); }
-
 double seconds(Span s) { return static_cast<double>(s.us) / 1e6; }
 
 template <class Map>
@@ -131,10 +128,9 @@
                          &sent_streams_, &newer_unread_, &newer_streams_, &badness_, &pace_, &keep_rate_,
                          &cold_level_})
         figure->resize(servers_);
-    out_.resize(servers_);
     lost_.resize(servers_);
     paced_.resize(servers_);
-    unbegun_.resize(servers_);
+    waiting_.resize(servers_);
 }
 
 // A process that has started anew holds nothing of what the old one was sent, kept or was judged by.
@@ -147,7 +143,7 @@
     unread_[s] = streams_[s] = sent_unread_[s] = sent_streams_[s] = newer_unread_[s] = newer_streams_[s] =
         badness_[s] = pace_[s] = 0;
     keep_rate_[s] = 1;
-    out_[s] = paced_[s] = unbegun_[s] = 0;
+    paced_[s] = waiting_[s] = 0;
     // A random start lets many gateways together send what one rate allows, even where each may send less than one.
     cold_level_[s] = std::uniform_real_distribution<double>(0, 1)(chance_);
     cold_filled_[s] = host_.now();
@@ -231,7 +227,7 @@
     if (!ready(s)) return false;
     if (is_cold(s) && cold_level_[s] < 1) return false;
     if (shut_for_[s].us == 0) return true;
-    return host_.now() >= shut_until_[s] && out_[s] == 0;
+    return host_.now() >= shut_until_[s] && waiting_[s] == 0;
 }
 
 void Rules::note_good(ServerIndex s) {
@@ -313,9 +309,8 @@
     double kept = 0;
     if (const KeptText* t = find_text(sessions_, older_sessions_, q.facts.session))
         if (t->reader == s && t->life == life_[s]) kept = t->tokens;
-    if (q.facts.beginning != 0)
-        if (const KeptText* t = find_text(beginnings_, older_beginnings_, copy_at(q.facts.beginning, s)))
-            if (t->life == life_[s]) kept = std::max(kept, q.facts.beginning_tokens);
+    if (const KeptText* t = find_text(beginnings_, older_beginnings_, q.facts.beginning))
+        if (t->reader == s && t->life == life_[s]) kept = std::max(kept, q.facts.beginning_tokens);
     return std::min(kept, q.facts.prompt_tokens) * keep_rate_[s];
 }
 
@@ -392,7 +387,7 @@
         for (ServerIndex s = 0; s < servers_; ++s) {
             if (!fit(s) || (!reads(s) && pass < 2)) continue;
             if (reader_load(s) > least + kReaderTie * typical) continue;
-            const double mine = (zone_[s] == terms_.zone ? 4.0 : 0.0) + (expected_kept(q, s) > 0 ? 2.0 : 0.0) +
+            const double mine = (zone_[s] == terms_.zone ? 2.0 : 0.0) +
                                 std::uniform_real_distribution<double>(0, 1)(chance_);
             if (mine > score) {
                 score = mine;
@@ -444,7 +439,7 @@
     double least = -1;
     for (ServerIndex s = 0; s < servers_; ++s) {
         if (!writes(s) || !is_open(s)) continue;
-        const double wait = unbegun_[s] > 0 ? pace_[s] : 0;
+        const double wait = waiting_[s] > 0 ? pace_[s] : 0;
         if (least < 0 || wait < least) least = wait;
     }
     return kMs * std::max(0.0, least);
@@ -458,20 +453,18 @@
     q.server = s;
     q.server_life = life_[s];
     q.out = true;
-    q.called_off = false;
+    q.called_off = q.begun = false;
     q.at_reader = role_[s] == Role::reader;
     q.sent = host_.now();
     q.state_life = reading ? life_[s] : q.state_life;
     ++q.launches;
-    ++out_[s];
+    ++waiting_[s];
     if (reading) {
         q.read_tokens = q.facts.prompt_tokens - expected_kept(q, s);
         unread_[s] += q.read_tokens;
         sent_unread_[s] += q.read_tokens;
         newer_unread_[s] += q.read_tokens;
         q.queued_tokens = unread_[s];
-    } else {
-        ++unbegun_[s];
     }
     if (writes(s)) {
         q.stream_tokens = stream_estimate(q);
@@ -496,8 +489,7 @@
     q.out = false;
     const ServerIndex s = q.server;
     if (q.server_life == life_[s]) {
-        --out_[s];
-        if (q.stage == Stage::writing) --unbegun_[s];
+        waiting_[s] -= !q.begun;
         unread_[s] = std::max(0.0, unread_[s] - q.read_tokens);
         streams_[s] = std::max(0.0, streams_[s] - q.stream_tokens);
     }
@@ -558,7 +550,7 @@
                      find_text(beginnings_, older_beginnings_, q.facts.beginning);
     const double kept = met ? expected_kept(q, s) / std::max(1.0, q.facts.prompt_tokens) : kept_share_.mean;
     const double fill = kFillGoal * (kFillUnkept + (1 - kFillUnkept) * kept);
-    if (out_[s] > 0 && host_.now() + read_wait(q, s) + first_wait() > q.came + (q.goal - q.came) * fill) return false;
+    if (waiting_[s] > 0 && host_.now() + read_wait(q, s) + first_wait() > q.came + (q.goal - q.came) * fill) return false;
     send(i, s, true);
     return true;
 }
@@ -681,7 +673,11 @@
     Query& q = queries_[i];
     const ServerIndex s = q.server;
     heard_at_[s] = host_.now();
-    if (q.server_life == life_[s]) unread_[s] = std::max(0.0, unread_[s] - q.read_tokens);
+    if (q.server_life == life_[s]) {
+        --waiting_[s];
+        unread_[s] = std::max(0.0, unread_[s] - q.read_tokens);
+    }
+    q.begun = true;
     q.read_tokens = 0;
     if (q.stage == Stage::over) return;
     q.stage = Stage::streaming;
@@ -689,7 +685,6 @@
     writes_done_ += 1;
     learn(first_time_, took.ms());
     note_pace(s, took.ms(), false);
-    if (q.server_life == life_[s]) --unbegun_[s];
     strain_ += 0.05 * ((host_.now() - q.came) / (q.goal - q.came) - strain_);
 }
 
@@ -699,10 +694,8 @@
     keep_rate_[s] = std::max(keep_rate_[s], 0.05);
     if (q.facts.session != 0)
         keep_text(sessions_, older_sessions_, q.facts.session, {s, life_[s], q.facts.prompt_tokens});
-    if (q.facts.beginning == 0) return;
-    const KeptText beginning{s, life_[s], q.facts.beginning_tokens};
-    keep_text(beginnings_, older_beginnings_, q.facts.beginning, beginning);
-    keep_text(beginnings_, older_beginnings_, copy_at(q.facts.beginning, s), beginning);
+    if (q.facts.beginning != 0)
+        keep_text(beginnings_, older_beginnings_, q.facts.beginning, {s, life_[s], q.facts.beginning_tokens});
 }
 
 void Rules::launch_ended(QueryIndex i, ServerIndex s, const Outcome& outcome) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -66,7 +66,7 @@
     std::uint32_t server_life = 0;
     bool out = false;
     bool at_reader = false;
-    bool called_off = false;
+    bool called_off = false, begun = false;
     bool has_state = false;
     ServerIndex state_at = 0;
     std::uint32_t state_life = 0;
@@ -166,7 +166,7 @@
         sent_streams_, newer_unread_,
         newer_streams_, badness_, pace_, keep_rate_, cold_level_;
     std::vector<bool> lost_;
-    std::vector<std::uint32_t> out_, paced_, unbegun_;
+    std::vector<std::uint32_t> paced_, waiting_;
 
     Learned prompt_, read_time_, first_time_, kept_share_;
     std::vector<Learned> work_of_category_;
