--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -58,7 +58,6 @@
 
 constexpr double kRateWindowS = 10.0;
 constexpr double kStrained = 0.4;        // first-token time over the latency goal
-constexpr double kJamMargin = 3.0;
 constexpr double kShareBurstS = 2.0;     // seconds of a client group's share that may come at once
 constexpr double kProbeSpend = 0.002;    // points of the result that probing may cost
 constexpr double kProbeSpendTight = 0.006;  // and while some writer's memory is over this share
@@ -375,11 +374,10 @@
             if (fit(s) && (reads(s) || pass == 2)) least = std::min(least, reader_load(s));
         if (std::isinf(least)) continue;
         const double typical = prompt_.mean;
-        const double margin = strain_ > kStrained ? kJamMargin : kKeptMargin;
         for (const KeptText* t : {find_text(sessions_, older_sessions_, q.facts.session),
                                   find_text(beginnings_, older_beginnings_, q.facts.beginning)}) {
             if (!t || t->life != life_[t->reader] || !fit(t->reader)) continue;
-            if (reader_load(t->reader) > least + margin * typical) continue;
+            if (reader_load(t->reader) > least + kKeptMargin * typical) continue;
             best = t->reader;
             return true;
         }
