--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -1,13 +1,14 @@
 // All decisions of copperfront, for one gateway.
 //
-// How it is called: the program around it makes one Rules per gateway with the Terms read at start, a Host to act
-// through and a seed, and then calls one method for each thing that happens (src/rules.h). A method decides and
-// acts at once through the Host (src/host.h); it never blocks and keeps no list of things to do. Indices of
-// queries and servers are dense; a query's index may be used anew once it has ended and none of its launches is out.
+// How it is called: the program around it makes one Rules per gateway with the Terms read at start, a Host to
+// act through and a seed, and then calls one method for each thing that happens (src/rules.h). A method
+// decides and acts at once through the Host (src/host.h); it never blocks and keeps no list of things to do.
+// Indices of queries and servers are dense; a query's index may be used anew once it has ended and none of
+// its launches is out.
 //
-// The ordinary path is that of docs/design.md: to the reader with the fewest queued prompt tokens (or the one that
-// kept the text), held before the read while no writer shows room, and from the read's end to the writer with the
-// most free memory. Everything else here stands against a named trouble.
+// The ordinary path is that of docs/design.md: to the reader with the fewest queued prompt tokens (or the one
+// that kept the text), held before the read while no writer shows room, and from the read's end to the writer
+// with the most free memory. Everything else here stands against a named trouble.
 
 #include "rules.h"
 
@@ -25,19 +26,20 @@
 constexpr Span kFullFor = kMs * 1000;
 constexpr double kKeptMargin = 1.0;  // typical prompts
 
-// Left open by the design: what counts as a tie. Gateways see only their own traffic, so two loads that differ by
-// less than these say nothing of which server is the less busy; the shorter way is then worth more.
+// Left open by the design: what counts as a tie. Gateways see only their own traffic, so two loads that
+// differ by less than these say nothing of which server is the less busy; the shorter way then counts for
+// more.
 constexpr double kReaderTie = 0.25;  // typical prompts
 constexpr double kWriterTie = 1.0;   // streams of the size in hand
 
-// Health. Two plain failures in a row shut a server out; the time out doubles up to a bound so that a server that
-// has come back is found within the span of a common outage.
+// Health. Two plain failures in a row shut a server out; the time out doubles up to a bound so that a server
+// that has come back is found within the span of a common outage.
 constexpr double kLearn = 0.3;
 constexpr double kShutAt = 0.5;
 constexpr Span kShutFirst = kMs * 1000;
 constexpr Span kShutMost = kMs * 8000;
-constexpr double kSlowFactor = 4.0;     // against the mean of the role, in pace
-constexpr double kShutPart = 0.5;       // the most of a role that plain failures and slowness may shut out
+constexpr double kSlowFactor = 4.0;  // against the mean of the role, in pace
+constexpr double kShutPart = 0.5;    // the most of a role that plain failures and slowness may shut out
 constexpr std::uint32_t kPaceSamples = 8;
 constexpr double kLeastRead = 0.1;  // typical prompts that a read costs even where all of it is kept
 
@@ -57,9 +59,9 @@
 constexpr double kFillUnkept = 0.5;  // and of that for a prompt of which nothing is kept
 
 constexpr double kRateWindowS = 10.0;
-constexpr double kStrained = 0.4;        // first-token time over the latency goal
-constexpr double kShareBurstS = 2.0;     // seconds of a client group's share that may come at once
-constexpr double kProbeSpend = 0.002;    // points of the result that probing may cost
+constexpr double kStrained = 0.4;           // first-token time over the latency goal
+constexpr double kShareBurstS = 2.0;        // seconds of a client group's share that may come at once
+constexpr double kProbeSpend = 0.002;       // points of the result that probing may cost
 constexpr double kProbeSpendTight = 0.006;  // and while some writer's memory is over this share
 constexpr double kTightShare = 0.7;
 constexpr std::size_t kTextsKept = 20000;  // sessions remembered in each of two generations
@@ -123,9 +125,9 @@
     life_.resize(servers_);
     for (auto* at : {&born_, &full_at_, &shut_until_, &cold_filled_, &heard_at_}) at->resize(servers_);
     shut_for_.resize(servers_);
-    for (auto* figure : {&memory_, &unread_, &streams_, &reported_memory_, &reported_unread_, &sent_unread_,
-                         &sent_streams_, &newer_unread_, &newer_streams_, &badness_, &pace_, &keep_rate_,
-                         &cold_level_})
+    for (auto* figure :
+         {&memory_, &unread_, &streams_, &reported_memory_, &reported_unread_, &sent_unread_, &sent_streams_,
+          &newer_unread_, &newer_streams_, &badness_, &pace_, &keep_rate_, &cold_level_})
         figure->resize(servers_);
     lost_.resize(servers_);
     paced_.resize(servers_);
@@ -143,7 +145,8 @@
         badness_[s] = pace_[s] = 0;
     keep_rate_[s] = 1;
     paced_[s] = waiting_[s] = 0;
-    // A random start lets many gateways together send what one rate allows, even where each may send less than one.
+    // A random start lets many gateways together send what one rate allows, even where each may send less
+    // than one.
     cold_level_[s] = std::uniform_real_distribution<double>(0, 1)(chance_);
     cold_filled_[s] = host_.now();
 }
@@ -185,9 +188,10 @@
     return born_[s].us > 0 && host_.now() - born_[s] < terms_.warm_within;
 }
 
-// Cold servers: all gateways together must stay under tip x capacity x window for every window. Each keeps to the
-// part that its own traffic to warm servers of the role tells: if all do, the sum is the fleet's part. Only the
-// stated share at start is counted on, since the climb is not told. A gateway that knows nothing sends nothing.
+// Cold servers: all gateways together must stay under tip x capacity x window for every window. Each keeps to
+// the part that its own traffic to warm servers of the role tells: if all do, the sum is the fleet's part.
+// Only the stated share at start is counted on, since the climb is not told. A gateway that knows nothing
+// sends nothing.
 void Rules::refill_cold() {
     const Instant now = host_.now();
     const double fade = std::exp(-seconds(now - counted_at_) / kRateWindowS);
@@ -214,7 +218,8 @@
         const double rate = peers > 0 ? done / kRateWindowS / peers : 0;
         const double allowed = rate * terms_.tip_multiple * terms_.start_capacity * kColdPart;
         const double most = std::max(1.0, allowed * seconds(terms_.fall) * kColdBurst);
-        cold_level_[s] = std::min(most, cold_level_[s] + allowed * (1 - kColdBurst) * seconds(now - cold_filled_[s]));
+        cold_level_[s] =
+            std::min(most, cold_level_[s] + allowed * (1 - kColdBurst) * seconds(now - cold_filled_[s]));
         cold_filled_[s] = now;
     }
 }
@@ -237,10 +242,11 @@
     }
 }
 
-// Against servers that answer fast with errors (and, with the fewest queued, would draw all traffic), that are gone
-// before the list says so, that fall silent or lose states. At once: no connection, where a second try would only
-// cost the same wait. Plain failures may shut out no more than half of what can be reached of a role, or the rest
-// would drown; what can't be reached counts on neither side, as a dead zone must not keep a failing server in.
+// Against servers that answer fast with errors (and, with the fewest queued, would draw all traffic), that
+// are gone before the list says so, that fall silent or lose states. At once: no connection, where a second
+// try would only cost the same wait. Plain failures may shut out no more than half of what can be reached of
+// a role, or the rest would drown; what can't be reached counts on neither side, as a dead zone must not keep
+// a failing server in.
 void Rules::note_bad(ServerIndex s, bool at_once, bool lost) {
     badness_[s] += kLearn * (1 - badness_[s]);
     if (at_once) badness_[s] = std::max(badness_[s], kShutAt + kLearn / 2);
@@ -260,8 +266,8 @@
     shut_until_[s] = host_.now() + shut_for_[s];
 }
 
-// Against servers that run slow without failing: their pace is held against that of their peers now, so that a
-// fleet that is slow as a whole shuts out nobody.
+// Against servers that run slow without failing: their pace is held against that of their peers now, so that
+// a fleet that is slow as a whole shuts out nobody.
 void Rules::note_pace(ServerIndex s, double pace, bool judge) {
     ++paced_[s];
     pace_[s] += (paced_[s] < kPaceSamples ? 1.0 / paced_[s] : kLearn) * (pace - pace_[s]);
@@ -278,8 +284,8 @@
     }
 }
 
-// A report may be asked for more often than it is made: the same figure again is the same report, and what was sent
-// before the last answer that still held the old one is in the new one at the earliest.
+// A report may be asked for more often than it is made: the same figure again is the same report, and what
+// was sent before the last answer that still held the old one is in the new one at the earliest.
 void Rules::note_report(ServerIndex s, const LoadReport& report) {
     const auto take = [](double told, double& held, double& since, double& newer) {
         if (told < 0) return;
@@ -288,8 +294,8 @@
         newer = 0;
     };
     take(report.memory_share, reported_memory_[s], sent_streams_[s], newer_streams_[s]);
-    take(report.unread_thousands < 0 ? -1 : report.unread_thousands * 1000, reported_unread_[s], sent_unread_[s],
-         newer_unread_[s]);
+    take(report.unread_thousands < 0 ? -1 : report.unread_thousands * 1000, reported_unread_[s],
+         sent_unread_[s], newer_unread_[s]);
 }
 
 // ---- the two choices
@@ -316,8 +322,8 @@
 // The output estimate is the client's hint, or half of the most that it allows.
 double Rules::stream_estimate(const Query& q) const {
     const Category& c = terms_.categories[q.facts.category];
-    const double answer = q.facts.hint.us > 0 && c.token_gap.us > 0 ? q.facts.hint / c.token_gap
-                                                                    : q.facts.most_tokens / 2;
+    const double answer =
+        q.facts.hint.us > 0 && c.token_gap.us > 0 ? q.facts.hint / c.token_gap : q.facts.most_tokens / 2;
     return q.facts.prompt_tokens + answer;
 }
 
@@ -385,8 +391,8 @@
         for (ServerIndex s = 0; s < servers_; ++s) {
             if (!fit(s) || (!reads(s) && pass < 2)) continue;
             if (reader_load(s) > least + kReaderTie * typical) continue;
-            const double mine = (zone_[s] == terms_.zone ? 2.0 : 0.0) +
-                                std::uniform_real_distribution<double>(0, 1)(chance_);
+            const double mine =
+                (zone_[s] == terms_.zone ? 2.0 : 0.0) + std::uniform_real_distribution<double>(0, 1)(chance_);
             if (mine > score) {
                 score = mine;
                 best = s;
@@ -426,13 +432,16 @@
     return false;
 }
 
-// What a read sent now would take, by what reads took here of late for each token that this gateway had queued.
+// What a read sent now would take, by what reads took here of late for each token that this gateway had
+// queued.
 Span Rules::read_wait(const Query& q, ServerIndex s) const {
-    const double tokens = unread_[s] + q.facts.prompt_tokens - expected_kept(q, s) + kLeastRead * prompt_.mean;
+    const double tokens =
+        unread_[s] + q.facts.prompt_tokens - expected_kept(q, s) + kLeastRead * prompt_.mean;
     return paced_[s] > 0 ? kMs * (pace_[s] * tokens) : Span{0};
 }
 
-// The shortest wait for a first token among the writers, as far as this gateway has launches out that tell of it.
+// The shortest wait for a first token among the writers, as far as this gateway has launches out that tell of
+// it.
 Span Rules::first_wait() const {
     double least = -1;
     for (ServerIndex s = 0; s < servers_; ++s) {
@@ -482,7 +491,8 @@
     }
 }
 
-// What was counted against the server of the launch that has ended; a process started since knows nothing of it.
+// What was counted against the server of the launch that has ended; a process started since knows nothing of
+// it.
 void Rules::settle_books(Query& q) {
     q.out = false;
     const ServerIndex s = q.server;
@@ -511,7 +521,8 @@
     refill_cold();
     arrivals_ += 1;
     // A shade before the client leaves, so that the answer is there in time however the batches fall.
-    host_.set_timer(std::max(Span{0}, facts.budget - terms_.quantum), kQueryKeys + (TimerKey{i} << 30) + serial % (1U << 30));
+    host_.set_timer(std::max(Span{0}, facts.budget - terms_.quantum),
+                    kQueryKeys + (TimerKey{i} << 30) + serial % (1U << 30));
     q.stage = Stage::first_line;
     if (over_share(q) && strain_ > kStrained) {
         end(i, terms_.max_stay_away);
@@ -543,12 +554,14 @@
     if (!pick_reader(q, s)) return false;
     // Against jams: a read that would end past the latency goal only makes those behind it late as well.
     // What was kept for the most part passes more easily: it costs the jam least for the same gain.
-    // A text never met here may lie anywhere, above all after a restart of this gateway: the usual share is taken.
+    // A text never met here may lie anywhere, above all after a restart of this gateway: the usual share is
+    // taken.
     const bool met = find_text(sessions_, older_sessions_, q.facts.session) ||
                      find_text(beginnings_, older_beginnings_, q.facts.beginning);
     const double kept = met ? expected_kept(q, s) / std::max(1.0, q.facts.prompt_tokens) : kept_share_.mean;
     const double fill = kFillGoal * (kFillUnkept + (1 - kFillUnkept) * kept);
-    if (waiting_[s] > 0 && host_.now() + read_wait(q, s) + first_wait() > q.came + (q.goal - q.came) * fill) return false;
+    if (waiting_[s] > 0 && host_.now() + read_wait(q, s) + first_wait() > q.came + (q.goal - q.came) * fill)
+        return false;
     send(i, s, true);
     return true;
 }
@@ -606,7 +619,8 @@
     wake_soon(terms_.release_within * 0.25);
 }
 
-// A state may wait for a writer only as long as the rule on held states allows, less a margin for late batches.
+// A state may wait for a writer only as long as the rule on held states allows, less a margin for late
+// batches.
 void Rules::serve_parked() {
     for (std::size_t n = parked_.size(); n > 0; --n) {
         const auto [i, serial] = parked_.front();
@@ -646,8 +660,8 @@
     Query& q = queries_[i];
     const Category& c = terms_.categories[q.facts.category];
     const bool uncertain = q.may_have_run || (q.out && !q.at_reader);
-    const bool harmless = !uncertain || c.effect == Effect::pure ||
-                          (c.effect == Effect::receipted && c.group == Group::all);
+    const bool harmless =
+        !uncertain || c.effect == Effect::pure || (c.effect == Effect::receipted && c.group == Group::all);
     if (harmless) {
         host_.decline(i, stay_away);
     } else {
@@ -656,7 +670,8 @@
     over(i);
 }
 
-// No answer lets go of a state, so every end does; what a launch still out brings back is let go when it ends.
+// No answer lets go of a state, so every end does; what a launch still out brings back is let go when it
+// ends.
 void Rules::over(QueryIndex i) {
     Query& q = queries_[i];
     if (q.out && terms_.cancel && q.stage != Stage::streaming) host_.retract(i, q.launches - 1);
@@ -687,7 +702,8 @@
 }
 
 void Rules::remember_read(const Query& q, ServerIndex s, double kept) {
-    const double expected = std::min(q.facts.prompt_tokens, expected_kept(q, s) / std::max(0.05, keep_rate_[s]));
+    const double expected =
+        std::min(q.facts.prompt_tokens, expected_kept(q, s) / std::max(0.05, keep_rate_[s]));
     if (expected > 0) keep_rate_[s] += kLearn * (std::min(1.0, kept / expected) - keep_rate_[s]);
     keep_rate_[s] = std::max(keep_rate_[s], 0.05);
     if (q.facts.session != 0)
@@ -704,7 +720,8 @@
     note_report(s, outcome.report);
 
     const Ending e = outcome.ending;
-    const bool local = e == Ending::retracted || e == Ending::late || e == Ending::unreachable || e == Ending::unsent;
+    const bool local =
+        e == Ending::retracted || e == Ending::late || e == Ending::unreachable || e == Ending::unsent;
     if (!local) heard_at_[s] = host_.now();
     if (e == Ending::unreachable || e == Ending::broken) note_bad(s, e == Ending::unreachable, true);
     if (e == Ending::error || e == Ending::late) note_bad(s, false, false);
@@ -800,9 +817,10 @@
     if (key == kWatchKey) watch();
 }
 
-// Against servers that fall silent: cut links, a dead machine that the list still names, a process that hangs. A
-// launch is called off only when nothing at all has been heard from its server since it was sent, for far longer
-// than usual: a jammed server goes on answering others. It may hurt where a server has nothing else to answer.
+// Against servers that fall silent: cut links, a dead machine that the list still names, a process that
+// hangs. A launch is called off only when nothing at all has been heard from its server since it was sent,
+// for far longer than usual: a jammed server goes on answering others. It may hurt where a server has nothing
+// else to answer.
 void Rules::watch() {
     watch_set_ = false;
     bool out = false;
@@ -815,9 +833,11 @@
         out = true;
         const Learned& usual = reading ? read_time_ : first_time_;
         if (usual.samples < kUsualSamples || heard_at_[q.server] > q.sent) continue;
-        const double of_late = pace_[q.server] * (reading ? q.queued_tokens + kLeastRead * prompt_.mean : 1.0);
-        const Span far = std::max(kMs * std::max(kSilentFactor * of_late, usual.mean + kSpreads * usual.spread),
-                                  (q.goal - q.came) * kSilentGoal);
+        const double of_late =
+            pace_[q.server] * (reading ? q.queued_tokens + kLeastRead * prompt_.mean : 1.0);
+        const Span far =
+            std::max(kMs * std::max(kSilentFactor * of_late, usual.mean + kSpreads * usual.spread),
+                     (q.goal - q.came) * kSilentGoal);
         if (host_.now() - q.sent < far) continue;
         q.called_off = true;
         note_bad(q.server, false, false);
@@ -829,7 +849,7 @@
     }
 }
 
-// Where load is told by probes alone, as many as the price of a probe lets be worth it.
+// Where load is told by probes alone, as many as the price of a probe allows.
 void Rules::probe_round() {
     refill_cold();
     double asked = 0, tight = 0;
--- a/src/rules.h
+++ b/src/rules.h
@@ -163,8 +163,7 @@
     std::vector<Instant> born_, full_at_, shut_until_, cold_filled_, heard_at_;
     std::vector<Span> shut_for_;
     std::vector<double> memory_, unread_, streams_, reported_memory_, reported_unread_, sent_unread_,
-        sent_streams_, newer_unread_,
-        newer_streams_, badness_, pace_, keep_rate_, cold_level_;
+        sent_streams_, newer_unread_, newer_streams_, badness_, pace_, keep_rate_, cold_level_;
     std::vector<bool> lost_;
     std::vector<std::uint32_t> paced_, waiting_;
 
--- a/tests/fake_host.h
+++ b/tests/fake_host.h
@@ -45,7 +45,8 @@
 
 constexpr Span ms(double v) { return {static_cast<std::int64_t>(v * 1000)}; }
 
-// Two readers (0, 1) and two writers (2, 3), all warm; reader 0 and writer 2 share a cell and the gateway's zone.
+// Two readers (0, 1) and two writers (2, 3), all warm; reader 0 and writer 2 share a cell and the gateway's
+// zone.
 struct Story {
     FakeHost host;
     Terms terms;
@@ -111,7 +112,9 @@
         rules->stream_began(q, ms(20));
         ended(q, Ending::settled, s, false, true);
     }
-    void report(ServerIndex s, double memory, double unread = -1) { rules->probe_answered(s, true, {memory, unread}); }
+    void report(ServerIndex s, double memory, double unread = -1) {
+        rules->probe_answered(s, true, {memory, unread});
+    }
     void list_again(ServerIndex s, Standing standing, Instant born = {}) {
         list[s].standing = standing;
         list[s].born = born;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -276,7 +276,8 @@
     assert(t.last().server == 0);
     t.ended(a, Ending::read, 0);
     t.settle(a);
-    t.list_again(0, Standing::ready, {t.host.clock.us - 20'000'000});  // has restarted since, and is warm again
+    t.list_again(0, Standing::ready,
+                 {t.host.clock.us - 20'000'000});  // has restarted since, and is warm again
     t.arrive(4000, 3);
     const ServerIndex busy = t.last().server;
     t.arrive(6100, 9);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -51,7 +51,8 @@
     "\n";
 
 std::string round(double ms, const std::string& events) {
-    return R"({"kind":"Round","time-ms":)" + std::to_string(ms) + "}\n" + events + "{\"kind\":\"EofBatch\"}\n";
+    return R"({"kind":"Round","time-ms":)" + std::to_string(ms) + "}\n" + events +
+           "{\"kind\":\"EofBatch\"}\n";
 }
 
 const std::string kAsk =
@@ -60,9 +61,10 @@
     "\n";
 
 void conversation() {
-    const std::string read = R"({"kind":"Result","who":1,"call":4503599627370495,"server":"h1:1","attempt":0,)"
-                             R"("took-ms":9.5,"how":"read","info":0,"extra":1})"
-                             "\n";
+    const std::string read =
+        R"({"kind":"Result","who":1,"call":4503599627370495,"server":"h1:1","attempt":0,)"
+        R"("took-ms":9.5,"how":"read","info":0,"extra":1})"
+        "\n";
     const std::string flowing =
         R"({"kind":"Flowing","who":1,"call":4503599627370495,"attempt":1,"server":"h2:1","took-ms":3})"
         "\n";
@@ -73,8 +75,9 @@
                              "\n";
     const std::string down = R"({"kind":"Teardown","who":1})"
                              "\n";
-    const Ran ran = run(round(10, provision(1) + kList) + round(20, kAsk) + round(30, read) + round(40, flowing) +
-                        round(50, ok + gone) + round(60, down + provision(1) + kList + kAsk));
+    const Ran ran =
+        run(round(10, provision(1) + kList) + round(20, kAsk) + round(30, read) + round(40, flowing) +
+            round(50, ok + gone) + round(60, down + provision(1) + kList + kAsk));
     assert(ran.code == 0 && ran.err.empty());
     std::size_t replies = 0;
     for (std::size_t at = 0; (at = ran.out.find("\"Eor\"", at)) != std::string::npos; ++at) ++replies;
@@ -104,7 +107,8 @@
     bad_input(begin + provision(1) + "{\"kind\":\"Dance\",\"who\":1}\n", "3", "unknown message: Dance");
     bad_input(begin + kList, "2", "not provisioned");
     bad_input(begin + provision(1) + "{\"kind\":\"Gone\",\"who\":1}\n", "3", "a field is missing: call");
-    bad_input(begin + provision(1) + "{\"kind\":\"Gone\",\"who\":1,\"call\":\"x\"}\n", "3", "not a whole number");
+    bad_input(begin + provision(1) + "{\"kind\":\"Gone\",\"who\":1,\"call\":\"x\"}\n", "3",
+              "not a whole number");
     bad_input(begin + provision(1) + kList + kAsk, "4", "ends inside a batch");
     bad_input("{\"kind\":\"EofBatch\"}\n", "1", "no Round");
 }
--- a/wirehost/main.cpp
+++ b/wirehost/main.cpp
@@ -1,18 +1,17 @@
-// The adapter: reads batches of events from standard input, calls the rules of each gateway, and writes what they
-// did. It holds no decision; ids become small indices here and go back unchanged.
+// The adapter: reads batches of events from standard input, calls the rules of each gateway, and writes what
+// they did. It holds no decision; ids become small indices here and go back unchanged.
 
 #include <cmath>
 #include <cstdlib>
 #include <iostream>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
-#include <nlohmann/json.hpp>
-
 #include "rules.h"
 
 namespace copperfront {
@@ -99,7 +98,8 @@
 
 double wire_ms(Span span) { return static_cast<double>(span.us) / 1000.0; }
 
-// Sessions and shared beginnings can be endless in number, so they become hashes, not table rows. 0 means none.
+// Sessions and shared beginnings can be endless in number, so they become hashes, not table rows. 0 means
+// none.
 std::uint64_t mark(const std::string& name) {
     if (name.empty()) return 0;
     std::uint64_t hash = 14695981039346656037ULL;
@@ -138,7 +138,8 @@
         const Json& env = needed(event, "env");
         if (!env.is_object()) throw BadInput("not an object: env");
         const Terms terms = read_terms(env);
-        rules_ = std::make_unique<Rules>(terms, *this, static_cast<std::uint32_t>(whole(event, "random-seed")));
+        rules_ =
+            std::make_unique<Rules>(terms, *this, static_cast<std::uint32_t>(whole(event, "random-seed")));
     }
 
     void set_clock(Instant clock) { clock_ = clock; }
@@ -159,7 +160,8 @@
         throw BadInput("unknown message: " + kind);
     }
 
-    // An index is free again only between batches, since a query that has ended may still be named within one.
+    // An index is free again only between batches, since a query that has ended may still be named within
+    // one.
     void end_batch() {
         for (const QueryIndex i : ended_) {
             Call& call = calls_[i];
@@ -242,7 +244,8 @@
             Kind kind;
             if (k < roles.size()) {
                 const std::string role = as_text(roles[k], "role-by-kind");
-                if (role != "read" && role != "write" && role != "both") throw BadInput("unknown role: " + role);
+                if (role != "read" && role != "write" && role != "both")
+                    throw BadInput("unknown role: " + role);
                 kind.role = role == "read" ? Role::reader : role == "write" ? Role::writer : Role::mixed;
             }
             if (k < memory.size()) kind.memory_tokens = as_number(memory[k], "tokens-by-kind");
@@ -261,12 +264,14 @@
                               : effect == "by_key" ? Effect::receipted
                                                    : Effect::pure;
             const std::string scope = text_or(profile, "key-scope", "all");
-            if (scope != "all" && scope != "zone" && scope != "cell") throw BadInput("unknown key-scope: " + scope);
+            if (scope != "all" && scope != "zone" && scope != "cell")
+                throw BadInput("unknown key-scope: " + scope);
             category.group = scope == "cell" ? Group::cell : scope == "zone" ? Group::zone : Group::all;
             category.window = span_or(profile, "window-ms", 0);
             category.latency_goal = {micros(number(profile, "target-ms"))};
             category.stream = flag(profile, "stream");
-            if (c < stretch.size()) category.goal_per_thousand = {micros(as_number(stretch[c], "aim-us") / 1000.0)};
+            if (c < stretch.size())
+                category.goal_per_thousand = {micros(as_number(stretch[c], "aim-us") / 1000.0)};
             if (c < gaps.size()) category.token_gap = {micros(as_number(gaps[c], "token-aim-ms"))};
             t.categories.push_back(category);
         }
@@ -284,7 +289,8 @@
         t.writers_read = flag(info, "writers-read");
         t.ask_for_list = text_or(env, "discovery", "pushed") == "on_request";
         const std::string how = text_or(load, "how", "off");
-        if (how != "inline" && how != "on_probe" && how != "off") throw BadInput("unknown load-info.how: " + how);
+        if (how != "inline" && how != "on_probe" && how != "off")
+            throw BadInput("unknown load-info.how: " + how);
         t.reports_by_probe = how == "on_probe";
         for (const Json& name : list_or_empty(load, "names")) {
             if (how == "off") break;
@@ -330,7 +336,8 @@
         Arrival a;
         a.category = static_cast<std::uint16_t>(known(categories_, text(event, "priority"), "priority"));
         if (const Json* group = field(event, "client-group"); group && group->is_string())
-            a.client_group = static_cast<std::int32_t>(known(groups_, group->get<std::string>(), "client-group"));
+            a.client_group =
+                static_cast<std::int32_t>(known(groups_, group->get<std::string>(), "client-group"));
         else if (group && *group != 0)
             throw BadInput("not a text: client-group");
         a.session = mark(text_or(event, "session-id", ""));
@@ -374,10 +381,15 @@
     }
 
     void result(const Json& event) {
-        static const std::map<std::string, Ending> endings = {
-            {"ok", Ending::settled},      {"error", Ending::error},  {"full", Ending::full},
-            {"timeout", Ending::late},    {"reset", Ending::broken}, {"connect_failed", Ending::unreachable},
-            {"cancelled", Ending::retracted}, {"moot", Ending::unsent},  {"read", Ending::read}};
+        static const std::map<std::string, Ending> endings = {{"ok", Ending::settled},
+                                                              {"error", Ending::error},
+                                                              {"full", Ending::full},
+                                                              {"timeout", Ending::late},
+                                                              {"reset", Ending::broken},
+                                                              {"connect_failed", Ending::unreachable},
+                                                              {"cancelled", Ending::retracted},
+                                                              {"moot", Ending::unsent},
+                                                              {"read", Ending::read}};
         const auto ending = endings.find(text(event, "how"));
         if (ending == endings.end()) throw BadInput("unknown how: " + text(event, "how"));
         const ServerIndex server = known(servers_, text(event, "server"), "server");
@@ -452,7 +464,8 @@
             return;
         }
         const auto it = gateways_.find(who);
-        if (it == gateways_.end()) throw BadInput("an instance that is not provisioned: " + std::to_string(who));
+        if (it == gateways_.end())
+            throw BadInput("an instance that is not provisioned: " + std::to_string(who));
         if (kind == "Teardown") {
             gateways_.erase(it);
             return;
