--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -56,7 +56,7 @@
 
 // The part of the latency goal that the expected read and first token may fill; the rest is for their spread.
 constexpr double kFillGoal = 0.6;
-constexpr double kFillUnkept = 0.5;  // and of that for a prompt of which nothing is kept
+constexpr double kFillUnkept = 0.25;  // and of that for a prompt of which nothing is kept
 
 constexpr double kRateWindowS = 10.0;
 constexpr double kStrained = 0.4;           // first-token time over the latency goal
