--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -56,6 +56,7 @@
 
 // The part of the latency goal that the expected read and first token may fill; the rest is for their spread.
 constexpr double kFillGoal = 0.6;
+constexpr double kWaitGoal = 0.35;   // the part of it that a query may be held; later it would be late by a little
 constexpr double kFillUnkept = 0.5;  // and of that for a prompt of which nothing is kept
 
 constexpr double kRateWindowS = 10.0;
@@ -578,7 +579,7 @@
             if (start(i)) continue;
             // Against queries that wait only to be answered too late: the client may do better elsewhere.
             const Query& q = queries_[i];
-            if (now > q.came + std::min(q.goal - q.came, q.hard_stop - q.came) * kFillGoal) {
+            if (now > q.came + std::min(q.goal - q.came, q.hard_stop - q.came) * kWaitGoal) {
                 end(i, terms_.max_stay_away);
                 continue;
             }
