--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -56,7 +56,6 @@
 
 // The part of the latency goal that the expected read and first token may fill; the rest is for their spread.
 constexpr double kFillGoal = 0.6;
-constexpr double kWaitGoal = 0.35;   // the part of it that a query may be held; later it would be late by a little
 constexpr double kFillUnkept = 0.5;  // and of that for a prompt of which nothing is kept
 
 constexpr double kRateWindowS = 10.0;
@@ -570,6 +569,7 @@
 void Rules::serve_lines() {
     refill_cold();
     const Instant now = host_.now();
+    const Span usual = kMs * (read_time_.mean + first_time_.mean);
     for (auto* line : {&first_line_, &further_line_}) {
         const Stage stage = line == &first_line_ ? Stage::first_line : Stage::further_line;
         for (std::size_t n = line->size(); n > 0; --n) {
@@ -578,8 +578,7 @@
             if (queries_[i].serial != serial || queries_[i].stage != stage) continue;
             if (start(i)) continue;
             // Against queries that wait only to be answered too late: the client may do better elsewhere.
-            const Query& q = queries_[i];
-            if (now > q.came + std::min(q.goal - q.came, q.hard_stop - q.came) * kWaitGoal) {
+            if (now + usual > std::min(queries_[i].goal, queries_[i].hard_stop) && now > queries_[i].came) {
                 end(i, terms_.max_stay_away);
                 continue;
             }
