--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -30,7 +30,7 @@
 // differ by less than these say nothing of which server is the less busy; the shorter way then counts for
 // more.
 constexpr double kReaderTie = 0.25;  // typical prompts
-constexpr double kWriterTie = 3.0;   // streams of the size in hand
+constexpr double kWriterTie = 8.0;   // streams of the size in hand
 
 // Health. Two plain failures in a row shut a server out; the time out doubles up to a bound so that a server
 // that has come back is found within the span of a common outage.
