--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -416,7 +416,8 @@
         for (ServerIndex s = 0; s < servers_; ++s)
             if (fit(s)) most = std::max(most, writer_room(s));
         if (std::isinf(most)) continue;
-        const double tie = (strain_ > kStrained ? kWriterTieStrained : kWriterTie) * stream_estimate(q);
+        const double ease = std::max(0.0, 1 - strain_ / kStrained);
+        const double tie = std::max(kWriterTieStrained, kWriterTie * ease) * stream_estimate(q);
         double score = -1;
         for (ServerIndex s = 0; s < servers_; ++s) {
             if (!fit(s) || writer_room(s) < most - tie) continue;
