--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -29,9 +29,8 @@
 // Left open by the design: what counts as a tie. Gateways see only their own traffic, so two loads that
 // differ by less than these say nothing of which server is the less busy; the shorter way then counts for
 // more.
-constexpr double kReaderTie = 0.25;  // typical prompts
-constexpr double kWriterTie = 8.0;   // streams of the size in hand; under strain room counts for more
-constexpr double kWriterTieStrained = 3.0;
+constexpr double kReaderTie = 0.5;  // typical prompts
+constexpr double kWriterTie = 3.0;   // streams of the size in hand; wider ties lose under overload
 
 // Health. Two plain failures in a row shut a server out; the time out doubles up to a bound so that a server
 // that has come back is found within the span of a common outage.
@@ -416,8 +415,7 @@
         for (ServerIndex s = 0; s < servers_; ++s)
             if (fit(s)) most = std::max(most, writer_room(s));
         if (std::isinf(most)) continue;
-        const double ease = std::max(0.0, 1 - strain_ / kStrained);
-        const double tie = std::max(kWriterTieStrained, kWriterTie * ease) * stream_estimate(q);
+        const double tie = kWriterTie * stream_estimate(q);
         double score = -1;
         for (ServerIndex s = 0; s < servers_; ++s) {
             if (!fit(s) || writer_room(s) < most - tie) continue;
