--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -29,7 +29,7 @@
 // Left open by the design: what counts as a tie. Gateways see only their own traffic, so two loads that
 // differ by less than these say nothing of which server is the less busy; the shorter way then counts for
 // more.
-constexpr double kReaderTie = 0.5;  // typical prompts
+constexpr double kReaderTie = 0.25;  // typical prompts
 constexpr double kWriterTie = 3.0;   // streams of the size in hand; wider ties lose under overload
 
 // Health. Two plain failures in a row shut a server out; the time out doubles up to a bound so that a server
