--- a/src/host.h
+++ b/src/host.h
@@ -8,8 +8,8 @@
 
 namespace copperfront {
 
-using QueryIndex =
-    std::uint32_t;  // may be given to another query once this one has ended and no launch is out
+// A query's index may be given to another once it has ended and none of its launches is out.
+using QueryIndex = std::uint32_t;
 using ServerIndex = std::uint32_t;  // stays with a server as long as the gateway runs
 using TimerKey = std::uint64_t;
 
--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -226,10 +226,11 @@
 
 // ---- health
 
+bool Rules::may_take(ServerIndex s) const { return ready(s) && (!is_cold(s) || cold_level_[s] >= 1); }
+
 // Shut out, a server is tried again by single launches once its time is over; a good one lets it back in.
 bool Rules::is_open(ServerIndex s) const {
-    if (!ready(s)) return false;
-    if (is_cold(s) && cold_level_[s] < 1) return false;
+    if (!may_take(s)) return false;
     if (shut_for_[s].us == 0) return true;
     return host_.now() >= shut_until_[s] && waiting_[s] == 0;
 }
@@ -310,11 +311,19 @@
     return c.group == Group::all || cell_[s] == cell_[q.ran_at];
 }
 
+const KeptText* Rules::session_text(const Query& q) const {
+    return find_text(sessions_, older_sessions_, q.facts.session);
+}
+
+const KeptText* Rules::beginning_text(const Query& q) const {
+    return find_text(beginnings_, older_beginnings_, q.facts.beginning);
+}
+
 double Rules::expected_kept(const Query& q, ServerIndex s) const {
     double kept = 0;
-    if (const KeptText* t = find_text(sessions_, older_sessions_, q.facts.session))
+    if (const KeptText* t = session_text(q))
         if (t->reader == s && t->life == life_[s]) kept = t->tokens;
-    if (const KeptText* t = find_text(beginnings_, older_beginnings_, q.facts.beginning))
+    if (const KeptText* t = beginning_text(q))
         if (t->reader == s && t->life == life_[s]) kept = std::max(kept, q.facts.beginning_tokens);
     return std::min(kept, q.facts.prompt_tokens) * keep_rate_[s];
 }
@@ -364,13 +373,21 @@
     return false;
 }
 
+// Among what ties, the shorter way first and chance within it, so that gateways do not all take the same
+// server.
+void Rules::draw(ServerIndex s, double nearness, double& score, ServerIndex& best) {
+    const double mine = nearness + std::uniform_real_distribution<double>(0, 1)(chance_);
+    if (mine <= score) return;
+    score = mine;
+    best = s;
+}
+
 bool Rules::pick_reader(const Query& q, ServerIndex& best) {
     // Passes over what this query has just found bad, then only what is shut out, then only what was full.
     for (const int pass : {0, 1, 2}) {
         const auto fit = [&](ServerIndex s) {
             const bool by_role = reads(s) || (pass > 0 && terms_.writers_read);
-            if (!by_role || !may_go(q, s) || !ready(s)) return false;
-            if (is_cold(s) && cold_level_[s] < 1) return false;
+            if (!by_role || !may_go(q, s) || !may_take(s)) return false;
             if (pass < 2 && !is_open(s)) return false;
             if (host_.now() - full_at_[s] < kFullFor) return false;
             return pass > 0 || std::find(q.avoid.begin(), q.avoid.end(), s) == q.avoid.end();
@@ -380,8 +397,7 @@
             if (fit(s) && (reads(s) || pass == 2)) least = std::min(least, reader_load(s));
         if (std::isinf(least)) continue;
         const double typical = prompt_.mean;
-        for (const KeptText* t : {find_text(sessions_, older_sessions_, q.facts.session),
-                                  find_text(beginnings_, older_beginnings_, q.facts.beginning)}) {
+        for (const KeptText* t : {session_text(q), beginning_text(q)}) {
             if (!t || t->life != life_[t->reader] || !fit(t->reader)) continue;
             if (reader_load(t->reader) > least + kKeptMargin * typical) continue;
             best = t->reader;
@@ -391,12 +407,7 @@
         for (ServerIndex s = 0; s < servers_; ++s) {
             if (!fit(s) || (!reads(s) && pass < 2)) continue;
             if (reader_load(s) > least + kReaderTie * typical) continue;
-            const double mine =
-                (zone_[s] == terms_.zone ? 2.0 : 0.0) + std::uniform_real_distribution<double>(0, 1)(chance_);
-            if (mine > score) {
-                score = mine;
-                best = s;
-            }
+            draw(s, zone_[s] == terms_.zone ? 2.0 : 0.0, score, best);
         }
         return true;
     }
@@ -406,7 +417,7 @@
 bool Rules::pick_writer(const Query& q, ServerIndex& best) {
     for (const int pass : {0, 1, 2}) {
         const auto fit = [&](ServerIndex s) {
-            if (!writes(s) || !ready(s) || !may_go(q, s) || (is_cold(s) && cold_level_[s] < 1)) return false;
+            if (!writes(s) || !may_go(q, s) || !may_take(s)) return false;
             if (pass < 2 && !is_open(s)) return false;
             if (pass > 0) return true;
             return std::find(q.avoid.begin(), q.avoid.end(), s) == q.avoid.end() && shows_room(s);
@@ -419,13 +430,8 @@
         double score = -1;
         for (ServerIndex s = 0; s < servers_; ++s) {
             if (!fit(s) || writer_room(s) < most - tie) continue;
-            const double mine = (cell_[s] == cell_[q.state_at] ? 4.0 : 0.0) +
-                                (zone_[s] == zone_[q.state_at] ? 2.0 : 0.0) +
-                                std::uniform_real_distribution<double>(0, 1)(chance_);
-            if (mine > score) {
-                score = mine;
-                best = s;
-            }
+            draw(s, (cell_[s] == cell_[q.state_at] ? 4.0 : 0.0) + (zone_[s] == zone_[q.state_at] ? 2.0 : 0.0),
+                 score, best);
         }
         return true;
     }
@@ -485,10 +491,7 @@
     }
     // No shorter limit: in a jam every launch would run into it and its work be asked for again. See watch().
     host_.launch(i, s, q.hard_stop - host_.now());
-    if (!watch_set_ && terms_.cancel) {
-        watch_set_ = true;
-        host_.set_timer(std::max(kWatchEvery, terms_.quantum), kWatchKey);
-    }
+    watch_on();
 }
 
 // What was counted against the server of the launch that has ended; a process started since knows nothing of
@@ -556,8 +559,7 @@
     // What was kept for the most part passes more easily: it costs the jam least for the same gain.
     // A text never met here may lie anywhere, above all after a restart of this gateway: the usual share is
     // taken.
-    const bool met = find_text(sessions_, older_sessions_, q.facts.session) ||
-                     find_text(beginnings_, older_beginnings_, q.facts.beginning);
+    const bool met = session_text(q) || beginning_text(q);
     const double kept = met ? expected_kept(q, s) / std::max(1.0, q.facts.prompt_tokens) : kept_share_.mean;
     const double fill = kFillGoal * (kFillUnkept + (1 - kFillUnkept) * kept);
     if (waiting_[s] > 0 && host_.now() + read_wait(q, s) + first_wait() > q.came + (q.goal - q.came) * fill)
@@ -599,8 +601,7 @@
 void Rules::hand_over(QueryIndex i) {
     Query& q = queries_[i];
     if (standing_[q.state_at] == Standing::gone || life_[q.state_at] != q.state_life) {
-        host_.release(i);
-        q.has_state = false;
+        let_go(i);
         retry_or_end(i);
         return;
     }
@@ -612,6 +613,11 @@
     park(i);
 }
 
+void Rules::let_go(QueryIndex i) {
+    host_.release(i);
+    queries_[i].has_state = false;
+}
+
 void Rules::park(QueryIndex i) {
     Query& q = queries_[i];
     q.stage = Stage::parked;
@@ -633,8 +639,7 @@
             pick_writer(q, s)) {
             send(i, s, false);
         } else if (waited >= terms_.release_within * 0.6 || q.launches >= terms_.max_launches) {
-            host_.release(i);
-            q.has_state = false;
+            let_go(i);
             retry_or_end(i);
         } else {
             parked_.emplace_back(i, serial);
@@ -676,8 +681,7 @@
     Query& q = queries_[i];
     if (q.out && terms_.cancel && q.stage != Stage::streaming) host_.retract(i, q.launches - 1);
     q.stage = Stage::over;
-    host_.release(i);
-    q.has_state = false;
+    let_go(i);
 }
 
 // ---- what comes back
@@ -817,6 +821,12 @@
     if (key == kWatchKey) watch();
 }
 
+void Rules::watch_on() {
+    if (watch_set_ || !terms_.cancel) return;
+    watch_set_ = true;
+    host_.set_timer(std::max(kWatchEvery, terms_.quantum), kWatchKey);
+}
+
 // Against servers that fall silent: cut links, a dead machine that the list still names, a process that
 // hangs. A launch is called off only when nothing at all has been heard from its server since it was sent,
 // for far longer than usual: a jammed server goes on answering others. It may hurt where a server has nothing
@@ -843,10 +853,7 @@
         note_bad(q.server, false, false);
         host_.retract(i, q.launches - 1);
     }
-    if (out) {
-        watch_set_ = true;
-        host_.set_timer(std::max(kWatchEvery, terms_.quantum), kWatchKey);
-    }
+    if (out) watch_on();
 }
 
 // Where load is told by probes alone, as many as the price of a probe allows.
@@ -867,8 +874,10 @@
 }
 
 void Rules::probe_answered(ServerIndex s, bool answered, const LoadReport& report) {
-    if (answered) heard_at_[s] = host_.now();
-    if (answered) note_report(s, report);
+    if (answered) {
+        heard_at_[s] = host_.now();
+        note_report(s, report);
+    }
     serve_lines();
 }
 
--- a/src/rules.h
+++ b/src/rules.h
@@ -108,14 +108,18 @@
     bool writes(ServerIndex s) const;
     bool ready(ServerIndex s) const;
     bool is_cold(ServerIndex s) const;
+    bool may_take(ServerIndex s) const;
     bool is_open(ServerIndex s) const;
     bool may_go(const Query& q, ServerIndex s) const;
     bool shows_room(ServerIndex s) const;
     bool any_room(const Query& q) const;
+    const KeptText* session_text(const Query& q) const;
+    const KeptText* beginning_text(const Query& q) const;
     double expected_kept(const Query& q, ServerIndex s) const;
     double stream_estimate(const Query& q) const;
     double reader_load(ServerIndex s) const;
     double writer_room(ServerIndex s) const;
+    void draw(ServerIndex s, double nearness, double& score, ServerIndex& best);
     bool pick_reader(const Query& q, ServerIndex& best);
     bool pick_writer(const Query& q, ServerIndex& best);
 
@@ -134,6 +138,7 @@
     void settle_books(Query& q);
     bool start(QueryIndex i);
     void hand_over(QueryIndex i);
+    void let_go(QueryIndex i);
     void park(QueryIndex i);
     void stand_again(QueryIndex i);
     void retry_or_end(QueryIndex i);
@@ -143,6 +148,7 @@
     void serve_parked();
     void wake_soon(Span after);
     void watch();
+    void watch_on();
     void probe_round();
     bool over_share(const Query& q);
 
