Let ties among writers favour the reader's cell only as far as its writers match

It covers any skew of the list, also after losses; it may hurt where traffic is not spread as the readers are.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -147,7 +147,7 @@
     paced_[s] = waiting_[s] = 0;
     // A random start lets many gateways together send what one rate allows, even where each may send less
     // than one.
-    cold_level_[s] = std::uniform_real_distribution<double>(0, 1)(chance_);
+    cold_level_[s] = chance();
     cold_filled_[s] = host_.now();
 }
 
@@ -170,9 +170,35 @@
     if (whole)
         for (ServerIndex s = 0; s < servers_; ++s)
             if (!named[s]) standing_[s] = Standing::gone;
+    weigh_cells();
     serve_lines();
 }
 
+// The parts of all readers and of all writers that each cell and each zone holds.
+void Rules::weigh_cells() {
+    cells_.assign(cells_.size(), {});
+    zones_.assign(zones_.size(), {});
+    double readers = 0, writers = 0;
+    for (ServerIndex s = 0; s < servers_; ++s) {
+        if (cell_[s] >= cells_.size()) cells_.resize(cell_[s] + 1);
+        if (zone_[s] >= zones_.size()) zones_.resize(zone_[s] + 1);
+        cells_[cell_[s]].zone = zone_[s];
+        if (!ready(s)) continue;
+        readers += reads(s);
+        writers += writes(s);
+        cells_[cell_[s]].readers += reads(s);
+        cells_[cell_[s]].writers += writes(s);
+    }
+    for (Mix& cell : cells_) {
+        cell.readers /= std::max(1.0, readers);
+        cell.writers /= std::max(1.0, writers);
+        zones_[cell.zone].over += std::max(0.0, cell.readers - cell.writers);
+        zones_[cell.zone].spare += std::max(0.0, cell.writers - cell.readers);
+    }
+    far_spare_ = 0;
+    for (const Mix& zone : zones_) far_spare_ += std::max(0.0, zone.spare - zone.over);
+}
+
 // The old list stands; asking again at once would load the one list service that all gateways share.
 void Rules::list_missed() {
     if (!terms_.ask_for_list) return;
@@ -180,6 +206,8 @@
     host_.set_timer(kMs * static_cast<double>(wait(chance_)), kListKey);
 }
 
+double Rules::chance() { return std::uniform_real_distribution<double>(0, 1)(chance_); }
+
 bool Rules::reads(ServerIndex s) const { return role_[s] != Role::writer; }
 bool Rules::writes(ServerIndex s) const { return role_[s] != Role::reader; }
 bool Rules::ready(ServerIndex s) const { return standing_[s] == Standing::ready; }
@@ -376,7 +404,7 @@
 // Among what ties, the shorter way first and chance within it, so that gateways do not all take the same
 // server.
 void Rules::draw(ServerIndex s, double nearness, double& score, ServerIndex& best) {
-    const double mine = nearness + std::uniform_real_distribution<double>(0, 1)(chance_);
+    const double mine = nearness + chance();
     if (mine <= score) return;
     score = mine;
     best = s;
@@ -414,6 +442,26 @@
     return false;
 }
 
+// Against cells whose writers drown because all gateways favour the reader's cell at once: ties favour it only
+// as far as its writers' part of all writers matches its readers' part of all readers. What is over goes to
+// cells with writers to spare, of the same zone first. If every gateway draws so, each writer gets its part.
+double Rules::writer_part(ServerIndex s, ServerIndex reader) const {
+    constexpr double kLeast = 1e-9;  // only where nothing better is left
+    const Mix& here = cells_[cell_[reader]];
+    const Mix& there = cells_[cell_[s]];
+    const Mix& zone = zones_[zone_[reader]];
+    if (there.writers <= 0 || here.readers <= 0) return kLeast;
+    if (cell_[s] == cell_[reader]) return std::max(kLeast, std::min(here.readers, here.writers) / there.writers);
+    const double over = std::max(0.0, here.readers - here.writers);
+    const double stays = zone.over > 0 ? std::min(1.0, zone.spare / zone.over) : 1.0;
+    const double spare = std::max(0.0, there.writers - there.readers) / there.writers;
+    if (zone_[s] == zone_[reader])
+        return std::max(kLeast, zone.spare > 0 ? over * stays * spare / zone.spare : 0.0);
+    const Mix& far = zones_[zone_[s]];
+    const double left = far.spare > 0 ? std::max(0.0, 1 - far.over / far.spare) : 0.0;
+    return std::max(kLeast, far_spare_ > 0 ? over * (1 - stays) * spare * left / far_spare_ : 0.0);
+}
+
 bool Rules::pick_writer(const Query& q, ServerIndex& best) {
     for (const int pass : {0, 1, 2}) {
         const auto fit = [&](ServerIndex s) {
@@ -427,11 +475,13 @@
             if (fit(s)) most = std::max(most, writer_room(s));
         if (std::isinf(most)) continue;
         const double tie = kWriterTie * stream_estimate(q);
-        double score = -1;
+        double first = std::numeric_limits<double>::infinity();
         for (ServerIndex s = 0; s < servers_; ++s) {
             if (!fit(s) || writer_room(s) < most - tie) continue;
-            draw(s, (cell_[s] == cell_[q.state_at] ? 4.0 : 0.0) + (zone_[s] == zone_[q.state_at] ? 2.0 : 0.0),
-                 score, best);
+            const double arrival = -std::log(1 - chance()) / writer_part(s, q.state_at);
+            if (arrival >= first) continue;
+            first = arrival;
+            best = s;
         }
         return true;
     }
--- a/src/rules.h
+++ b/src/rules.h
@@ -21,7 +21,7 @@
     ServerIndex server = 0;
     std::uint16_t kind = 0;
     std::uint16_t zone = 0;
-    std::uint32_t cell = 0;
+    std::uint32_t cell = 0;  // dense
     Instant born;  // 0: long ago
     Standing standing = Standing::ready;
 };
@@ -90,6 +90,13 @@
     std::uint64_t samples = 0;
 };
 
+// Parts of the fleet that a cell or a zone holds.
+struct Mix {
+    double readers = 0, writers = 0;
+    double over = 0, spare = 0;  // of a zone: what its cells hold of one over the other
+    std::uint16_t zone = 0;      // of a cell
+};
+
 class Rules {
   public:
     Rules(const Terms& terms, Host& host, std::uint32_t seed);
@@ -123,6 +130,9 @@
     bool pick_reader(const Query& q, ServerIndex& best);
     bool pick_writer(const Query& q, ServerIndex& best);
 
+    double chance();
+    double writer_part(ServerIndex s, ServerIndex reader) const;
+    void weigh_cells();
     void grow(ServerIndex s);
     void forget(ServerIndex s);
     void refill_cold();
@@ -166,6 +176,8 @@
     std::vector<Standing> standing_;
     std::vector<std::uint16_t> zone_;
     std::vector<std::uint32_t> cell_, life_;
+    std::vector<Mix> cells_, zones_;
+    double far_spare_ = 0;
     std::vector<Instant> born_, full_at_, shut_until_, cold_filled_, heard_at_;
     std::vector<Span> shut_for_;
     std::vector<double> memory_, unread_, streams_, reported_memory_, reported_unread_, sent_unread_,
--- a/wirehost/main.cpp
+++ b/wirehost/main.cpp
@@ -317,7 +317,7 @@
             listing.server = servers_.index(text(e, "server"));
             listing.kind = static_cast<std::uint16_t>(known(kinds_, text(e, "family-type"), "family-type"));
             listing.zone = static_cast<std::uint16_t>(zones_.index(text_or(e, "region-part", "")));
-            listing.cell = static_cast<std::uint32_t>(number_or(e, "unit-group", 0));
+            listing.cell = cells_.index(std::to_string(number_or(e, "unit-group", 0)));
             listing.born = {micros(number_or(e, "born-ms", 0))};
             const std::string condition = text(e, "condition");
             if (condition != "Ready" && condition != "Terminating" && condition != "Gone")
@@ -426,7 +426,7 @@
     std::uint64_t who_;
     Instant clock_;
     std::string& reply_;
-    Names servers_, zones_, kinds_, categories_, groups_;
+    Names servers_, zones_, cells_, kinds_, categories_, groups_;
     std::vector<Call> calls_;
     std::vector<QueryIndex> free_, ended_;
     std::unordered_map<std::uint64_t, QueryIndex> index_of_call_;
