--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -431,13 +431,13 @@
     return text != 0 ? mixed(text ^ mixed(mark_[s])) : chance_();
 }
 
-std::size_t Rules::home_place(const Query& q, std::size_t readers) const {
+std::ptrdiff_t Rules::home_place(const Query& q, std::size_t readers) const {
     if (q.facts.beginning == 0) return 0;
     const auto& [level, at] = popularity_.find(q.facts.beginning)->second;
     const double part = level / (arrivals_ + kFewArrivals);
     const double homes = std::max(1.0, part * static_cast<double>(readers) * kHomesPart);
     const double within = static_cast<double>(mixed(q.facts.session) >> 11) / 9007199254740992.0;
-    return std::min(readers - 1, static_cast<std::size_t>(within * homes));
+    return static_cast<std::ptrdiff_t>(std::min(static_cast<double>(readers) - 1, std::floor(within * homes)));
 }
 
 bool Rules::pick_reader(const Query& q, ServerIndex& best) {
@@ -462,22 +462,22 @@
             return true;
         }
         const auto gather = [&](double margin, bool near) {
+            lots_.clear();
             for (ServerIndex s = 0; s < servers_; ++s) {
                 if (!fit(s) || (!reads(s) && pass < 2) || (near && zone_[s] != terms_.zone)) continue;
                 if (reader_load(s) <= least + margin * typical) lots_.emplace_back(lot(q, s), s);
             }
             return !lots_.empty();
         };
-        lots_.clear();
-        gather(kInfinite, true) || gather(kInfinite, false);
-        auto home = lots_.begin() + static_cast<std::ptrdiff_t>(home_place(q, lots_.size()));
-        std::nth_element(lots_.begin(), home, lots_.end());
-        if (reader_load(home->second) > least + kKeptMargin * typical) {
-            lots_.clear();
-            gather(kReaderTie, true) || gather(kReaderTie, false);
-            home = std::min_element(lots_.begin(), lots_.end());
+        if (q.facts.beginning != 0 || q.facts.session != 0) {
+            gather(kInfinite, true) || gather(kInfinite, false);
+            const auto home = lots_.begin() + home_place(q, lots_.size());
+            std::nth_element(lots_.begin(), home, lots_.end());
+            best = home->second;
+            if (reader_load(best) <= least + kKeptMargin * typical) return true;
         }
-        best = home->second;
+        gather(kReaderTie, true) || gather(kReaderTie, false);
+        best = std::min_element(lots_.begin(), lots_.end())->second;
         return true;
     }
     return false;
--- a/src/rules.h
+++ b/src/rules.h
@@ -133,7 +133,7 @@
 
     double chance();
     std::uint64_t lot(const Query& q, ServerIndex s);
-    std::size_t home_place(const Query& q, std::size_t readers) const;
+    std::ptrdiff_t home_place(const Query& q, std::size_t readers) const;
     double writer_part(ServerIndex s, ServerIndex reader) const;
     void weigh_cells();
     void grow(ServerIndex s);
