--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -38,6 +38,7 @@
 // Health. Two plain failures in a row shut a server out; the time out doubles up to a bound so that a server
 // that has come back is found within the span of a common outage.
 constexpr double kLearn = 0.3;
+constexpr double kLearnPool = 0.05;  // of a figure drawn from a whole role
 constexpr double kShutAt = 0.5;
 constexpr Span kShutFirst = kMs * 1000;
 constexpr Span kShutMost = kMs * 8000;
@@ -65,16 +66,17 @@
 constexpr double kStrained = 0.4;           // first-token time over the latency goal
 constexpr double kShareBurstS = 2.0;        // seconds of a client group's share that may come at once
 constexpr double kProbeSpend = 0.002;       // points of the result that probing may cost
-constexpr double kProbeSpendTight = 0.006;  // and while some writer's memory is over this share
+constexpr double kProbeSpendTight = 0.006;  // and while writers' memory is over this share
 constexpr double kTightShare = 0.7;
+constexpr double kProbesMost = 3.0;  // for a query
 constexpr std::size_t kTextsKept = 20000;  // sessions remembered in each of two generations
 
-constexpr TimerKey kSweepKey = 1, kProbeKey = 2, kListKey = 3, kWatchKey = 4;
+constexpr TimerKey kSweepKey = 1, kListKey = 2, kWatchKey = 3;
 constexpr TimerKey kQueryKeys = TimerKey{1} << 62;
 
-void learn(Learned& l, double sample) {
+void learn(Learned& l, double sample, double least = 0.02) {
     ++l.samples;
-    const double weight = std::max(0.02, 1.0 / static_cast<double>(l.samples));
+    const double weight = std::max(least, 1.0 / static_cast<double>(l.samples));
     const double off = std::abs(sample - l.mean);
     l.mean += weight * (sample - l.mean);
     l.spread += weight * ((l.samples == 1 ? sample / 2 : off) - l.spread);
@@ -119,8 +121,6 @@
     for (std::size_t g = 0; g < terms_.quotas.size(); ++g)
         share_level_[g] = terms_.quotas[g] / terms_.gateways * kShareBurstS;
     if (terms_.ask_for_list) host_.subscribe();
-    if (terms_.probes && terms_.reports_by_probe && (terms_.reports_memory || terms_.reports_unread))
-        host_.set_timer(terms_.quantum, kProbeKey);
 }
 
 // ---- the list of servers
@@ -134,7 +134,7 @@
     cell_.resize(servers_);
     mark_.resize(servers_);
     life_.resize(servers_);
-    for (auto* at : {&born_, &full_at_, &shut_until_, &cold_filled_, &heard_at_}) at->resize(servers_);
+    for (auto* at : {&born_, &full_at_, &shut_until_, &cold_filled_, &heard_at_, &told_at_}) at->resize(servers_);
     shut_for_.resize(servers_);
     for (auto* figure :
          {&memory_, &unread_, &streams_, &reported_memory_, &reported_unread_, &sent_unread_, &sent_streams_,
@@ -152,6 +152,7 @@
     shut_until_[s] = host_.now();
     shut_for_[s] = {};
     reported_memory_[s] = reported_unread_[s] = -1;
+    told_at_[s] = host_.now() - kMs * 1000;
     unread_[s] = streams_[s] = sent_unread_[s] = sent_streams_[s] = newer_unread_[s] = newer_streams_[s] =
         badness_[s] = pace_[s] = 0;
     keep_rate_[s] = 1;
@@ -328,15 +329,17 @@
 // A report may be asked for more often than it is made: the same figure again is the same report, and what
 // was sent before the last answer that still held the old one is in the new one at the earliest.
 void Rules::note_report(ServerIndex s, const LoadReport& report) {
-    const auto take = [](double told, double& held, double& since, double& newer) {
+    const auto take = [](double told, double& held, Learned& average, double& since, double& newer) {
         if (told < 0) return;
         if (told != held) since = newer;
         held = told;
         newer = 0;
+        learn(average, told, kLearnPool);
     };
-    take(report.memory_share, reported_memory_[s], sent_streams_[s], newer_streams_[s]);
-    take(report.unread_thousands < 0 ? -1 : report.unread_thousands * 1000, reported_unread_[s],
+    take(report.memory_share, reported_memory_[s], told_memory_, sent_streams_[s], newer_streams_[s]);
+    take(report.unread_thousands < 0 ? -1 : report.unread_thousands * 1000, reported_unread_[s], told_unread_,
          sent_unread_[s], newer_unread_[s]);
+    if (report.memory_share >= 0 || report.unread_thousands >= 0) told_at_[s] = host_.now();
 }
 
 // ---- the two choices
@@ -376,33 +379,27 @@
     return q.facts.prompt_tokens + answer;
 }
 
+// Servers not heard of count as the average of those heard of. A report fades into that average as the streams
+// that it counted end, or gateways that hear of a server once in a while would all trust what is long gone.
+double Rules::told(ServerIndex s, const std::vector<double>& figure, const Learned& average) const {
+    if (figure[s] < 0) return average.mean;
+    const double streams = stream_time_.mean > 0 ? seconds(host_.now() - told_at_[s]) * 1000 / stream_time_.mean : 0;
+    return average.mean + (figure[s] - average.mean) * std::exp(-streams);
+}
+
 double Rules::reader_load(ServerIndex s) const {
-    if (!terms_.reports_unread) return unread_[s];
-    if (reported_unread_[s] >= 0) return reported_unread_[s] + sent_unread_[s];
-    double sum = 0, heard = 0;
-    for (ServerIndex o = 0; o < servers_; ++o) {
-        if (!ready(o) || !reads(o) || reported_unread_[o] < 0) continue;
-        sum += reported_unread_[o];
-        ++heard;
-    }
-    return heard > 0 ? sum / heard + sent_unread_[s] : unread_[s];
+    if (!terms_.reports_unread || told_unread_.samples == 0) return unread_[s];
+    return told(s, reported_unread_, told_unread_) + sent_unread_[s];
 }
 
 double Rules::writer_room(ServerIndex s) const {
-    if (!terms_.reports_memory) return -streams_[s];
-    if (reported_memory_[s] >= 0) return (1 - reported_memory_[s]) * memory_[s] - sent_streams_[s];
-    double sum = 0, heard = 0;
-    for (ServerIndex o = 0; o < servers_; ++o) {
-        if (!ready(o) || !writes(o) || reported_memory_[o] < 0) continue;
-        sum += (1 - reported_memory_[o]) * memory_[o];
-        ++heard;
-    }
-    return heard > 0 ? sum / heard - sent_streams_[s] : -streams_[s];
+    if (!terms_.reports_memory || told_memory_.samples == 0) return -streams_[s];
+    return (1 - told(s, reported_memory_, told_memory_)) * memory_[s] - sent_streams_[s];
 }
 
 bool Rules::shows_room(ServerIndex s) const {
     if (terms_.reports_memory && reported_memory_[s] >= 0 && memory_[s] > 0 &&
-        reported_memory_[s] + sent_streams_[s] / memory_[s] > kRoomShare)
+        told(s, reported_memory_, told_memory_) + sent_streams_[s] / memory_[s] > kRoomShare)
         return false;
     return host_.now() - full_at_[s] >= kFullFor;
 }
@@ -629,6 +626,7 @@
     }
     first_line_.emplace_back(i, serial);
     serve_lines();
+    probe_some(q);
 }
 
 // Shares are told for all gateways; the front spreads clients evenly, so each holds its part.
@@ -833,6 +831,7 @@
         learn(kept_share_, outcome.kept_tokens / std::max(1.0, q.facts.prompt_tokens));
         remember_read(q, s, outcome.kept_tokens);
     }
+    if (e == Ending::settled) learn(stream_time_, outcome.took.ms());
     if (e == Ending::late) learn(at_reader ? read_time_ : first_time_, outcome.took.ms());
 
     if (q.stage == Stage::over || outcome.over) {
@@ -912,7 +911,6 @@
         serve_parked();
         serve_lines();
     }
-    if (key == kProbeKey) probe_round();
     if (key == kListKey) host_.subscribe();
     if (key == kWatchKey) watch();
 }
@@ -952,21 +950,30 @@
     if (out) watch_on();
 }
 
-// Where load is told by probes alone, as many as the price of a probe allows.
-void Rules::probe_round() {
-    refill_cold();
-    double asked = 0, tight = 0;
-    for (ServerIndex s = 0; s < servers_; ++s) {
-        if (!ready(s)) continue;
-        if (!((terms_.reports_memory && writes(s)) || (terms_.reports_unread && reads(s)))) continue;
-        host_.probe(s);
-        ++asked;
-        tight = std::max(tight, reported_memory_[s]);
-    }
-    const double rate = std::max(arrivals_ / kRateWindowS, 0.5);
-    const double spend = tight > kTightShare ? kProbeSpendTight : kProbeSpend;
-    const double wait = std::clamp(asked * terms_.probe_fee / (spend * rate), 0.2, 5.0);
-    host_.set_timer(kMs * (wait * 1000.0), kProbeKey);
+// Where load is told by probes alone, each query pays for as many as the fee allows, so that what a gateway
+// knows when it hands a state over does not thin out as gateways or servers grow in number. They go where the
+// query's state may go, and rather to servers not heard of for long.
+void Rules::probe_some(const Query& q) {
+    if (!terms_.probes || !terms_.reports_by_probe) return;
+    const double spend = told_memory_.mean > kTightShare ? kProbeSpendTight : kProbeSpend;
+    probes_due_ += terms_.probe_fee > 0 ? std::min(kProbesMost, spend / terms_.probe_fee) : kProbesMost;
+    for (; probes_due_ >= 1; probes_due_ -= 1) {
+        double first = kInfinite;
+        ServerIndex chosen = 0;
+        for (ServerIndex s = 0; s < servers_; ++s) {
+            const bool of_use = (terms_.reports_memory && writes(s)) || (terms_.reports_unread && reads(s));
+            if (!ready(s) || !of_use || told_at_[s] >= host_.now()) continue;
+            const double part = writes(s) && q.out ? writer_part(s, q.server) : 1.0;
+            const double age = std::min(kRateWindowS, seconds(host_.now() - told_at_[s]));
+            const double arrival = -std::log(1 - chance()) / (part * age);
+            if (arrival >= first) continue;
+            first = arrival;
+            chosen = s;
+        }
+        if (first == kInfinite) return;
+        host_.probe(chosen);
+        told_at_[chosen] = host_.now();
+    }
 }
 
 void Rules::probe_answered(ServerIndex s, bool answered, const LoadReport& report) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -125,6 +125,7 @@
     const KeptText* beginning_text(const Query& q) const;
     double expected_kept(const Query& q, ServerIndex s) const;
     double stream_estimate(const Query& q) const;
+    double told(ServerIndex s, const std::vector<double>& figure, const Learned& average) const;
     double reader_load(ServerIndex s) const;
     double writer_room(ServerIndex s) const;
     void draw(ServerIndex s, double nearness, double& score, ServerIndex& best);
@@ -162,7 +163,7 @@
     void wake_soon(Span after);
     void watch();
     void watch_on();
-    void probe_round();
+    void probe_some(const Query& q);
     bool over_share(const Query& q);
 
     Terms terms_;
@@ -184,14 +185,15 @@
     std::unordered_map<std::uint64_t, std::pair<double, Instant>> popularity_;
     std::vector<Mix> cells_, zones_;
     double far_spare_ = 0;
-    std::vector<Instant> born_, full_at_, shut_until_, cold_filled_, heard_at_;
+    std::vector<Instant> born_, full_at_, shut_until_, cold_filled_, heard_at_, told_at_;
     std::vector<Span> shut_for_;
     std::vector<double> memory_, unread_, streams_, reported_memory_, reported_unread_, sent_unread_,
         sent_streams_, newer_unread_, newer_streams_, badness_, pace_, keep_rate_, cold_level_;
     std::vector<bool> lost_;
     std::vector<std::uint32_t> paced_, waiting_;
 
-    Learned prompt_, read_time_, first_time_, kept_share_;
+    Learned prompt_, read_time_, first_time_, stream_time_, kept_share_, told_memory_, told_unread_;
+    double probes_due_ = 0;
     std::vector<Learned> work_of_category_;
     Learned work_;
     double strain_ = 0;
