Draw homes and tied readers by the part of each reader that is this zone's

The zone is now favoured only as far as its readers match its part of the traffic, as with writers and cells. It may hurt where clients are spread over zones very unevenly.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -33,6 +33,7 @@
 constexpr double kReaderTie = 0.25;  // typical prompts
 constexpr double kHomesPart = 2.0;
 constexpr double kFewArrivals = 4.0;
+constexpr double kLeastPart = 1e-9;  // of what is to be taken only where nothing better is left
 constexpr double kWriterTie = 3.0;   // streams of the size in hand; wider ties lose under overload
 
 // Health. Two plain failures in a row shut a server out; the time out doubles up to a bound so that a server
@@ -89,6 +90,8 @@
     return x ^ (x >> 31);
 }
 
+double unit(std::uint64_t bits) { return static_cast<double>(bits >> 11) / 9007199254740992.0; }
+
 double seconds(Span s) { return static_cast<double>(s.us) / 1e6; }
 
 template <class Map>
@@ -208,8 +211,12 @@
         zones_[cell.zone].over += std::max(0.0, cell.readers - cell.writers);
         zones_[cell.zone].spare += std::max(0.0, cell.writers - cell.readers);
     }
-    far_spare_ = 0;
-    for (const Mix& zone : zones_) far_spare_ += std::max(0.0, zone.spare - zone.over);
+    for (const Mix& cell : cells_) zones_[cell.zone].readers += cell.readers;
+    far_spare_ = spare_readers_ = 0;
+    for (const Mix& zone : zones_) {
+        far_spare_ += std::max(0.0, zone.spare - zone.over);
+        spare_readers_ += std::max(0.0, zone.readers - 1.0 / static_cast<double>(zones_.size()));
+    }
 }
 
 // The old list stands; asking again at once would load the one list service that all gateways share.
@@ -423,18 +430,28 @@
 // a lot that falls alike at all gateways, so that it is the likeliest to have read the text last. A beginning
 // that many sessions share has as many homes as its part of the traffic would keep busy, and the session tells
 // which of them.
-std::uint64_t Rules::lot(const Query& q, ServerIndex s) {
+// The lot is drawn by the part of a reader's work that is this zone's (reader_part), so that a zone with few
+// readers does not drown them.
+double Rules::lot(const Query& q, ServerIndex s) {
     const std::uint64_t text = q.facts.beginning != 0 ? q.facts.beginning : q.facts.session;
-    return text != 0 ? mixed(text ^ mixed(mark_[s])) : chance_();
+    const double drawn = text != 0 ? unit(mixed(text ^ mixed(mark_[s]))) : chance();
+    return -std::log(1 - drawn) / reader_part(s);
+}
+
+double Rules::reader_part(ServerIndex s) const {
+    const double wanted = 1.0 / static_cast<double>(zones_.size());
+    const double here = zones_[terms_.zone].readers, there = zones_[zone_[s]].readers;
+    if (there <= 0) return kLeastPart;
+    if (zone_[s] == terms_.zone) return std::min(1.0, wanted / there);
+    const double over = std::max(0.0, wanted - here), spare = std::max(0.0, there - wanted);
+    return std::max(kLeastPart, spare_readers_ > 0 ? over * spare / spare_readers_ / there : 0.0);
 }
 
-std::ptrdiff_t Rules::home_place(const Query& q, std::size_t readers) const {
+std::size_t Rules::home_place(const Query& q, double readers) const {
     if (q.facts.beginning == 0) return 0;
     const auto& [level, at] = popularity_.find(q.facts.beginning)->second;
-    const double part = level / (arrivals_ + kFewArrivals);
-    const double homes = std::max(1.0, part * static_cast<double>(readers) * kHomesPart);
-    const double within = static_cast<double>(mixed(q.facts.session) >> 11) / 9007199254740992.0;
-    return static_cast<std::ptrdiff_t>(std::min(static_cast<double>(readers) - 1, std::floor(within * homes)));
+    const double homes = std::max(1.0, level / (arrivals_ + kFewArrivals) * readers * kHomesPart);
+    return static_cast<std::size_t>(unit(mixed(q.facts.session)) * homes);
 }
 
 bool Rules::pick_reader(const Query& q, ServerIndex& best) {
@@ -458,22 +475,25 @@
             best = t->reader;
             return true;
         }
-        const auto gather = [&](double margin, bool near) {
+        double readers = 0;
+        const auto gather = [&](double margin) {
             lots_.clear();
             for (ServerIndex s = 0; s < servers_; ++s) {
-                if (!fit(s) || (!reads(s) && pass < 2) || (near && zone_[s] != terms_.zone)) continue;
-                if (reader_load(s) <= least + margin * typical) lots_.emplace_back(lot(q, s), s);
+                if (!fit(s) || (!reads(s) && pass < 2)) continue;
+                if (reader_load(s) > least + margin * typical) continue;
+                lots_.emplace_back(lot(q, s), s);
+                readers += reader_part(s);
             }
-            return !lots_.empty();
         };
         if (q.facts.beginning != 0 || q.facts.session != 0) {
-            gather(kInfinite, true) || gather(kInfinite, false);
-            const auto home = lots_.begin() + home_place(q, lots_.size());
+            gather(kInfinite);
+            const std::size_t place = std::min(lots_.size() - 1, home_place(q, readers));
+            const auto home = lots_.begin() + static_cast<std::ptrdiff_t>(place);
             std::nth_element(lots_.begin(), home, lots_.end());
             best = home->second;
             if (reader_load(best) <= least + kKeptMargin * typical) return true;
         }
-        gather(kReaderTie, true) || gather(kReaderTie, false);
+        gather(kReaderTie);
         best = std::min_element(lots_.begin(), lots_.end())->second;
         return true;
     }
@@ -484,20 +504,19 @@
 // as far as its writers' part of all writers matches its readers' part of all readers. What is over goes to
 // cells with writers to spare, of the same zone first. If every gateway draws so, each writer gets its part.
 double Rules::writer_part(ServerIndex s, ServerIndex reader) const {
-    constexpr double kLeast = 1e-9;  // only where nothing better is left
     const Mix& here = cells_[cell_[reader]];
     const Mix& there = cells_[cell_[s]];
     const Mix& zone = zones_[zone_[reader]];
-    if (there.writers <= 0 || here.readers <= 0) return kLeast;
-    if (cell_[s] == cell_[reader]) return std::max(kLeast, std::min(here.readers, here.writers) / there.writers);
+    if (there.writers <= 0 || here.readers <= 0) return kLeastPart;
+    if (cell_[s] == cell_[reader]) return std::max(kLeastPart, std::min(here.readers, here.writers) / there.writers);
     const double over = std::max(0.0, here.readers - here.writers);
     const double stays = zone.over > 0 ? std::min(1.0, zone.spare / zone.over) : 1.0;
     const double spare = std::max(0.0, there.writers - there.readers) / there.writers;
     if (zone_[s] == zone_[reader])
-        return std::max(kLeast, zone.spare > 0 ? over * stays * spare / zone.spare : 0.0);
+        return std::max(kLeastPart, zone.spare > 0 ? over * stays * spare / zone.spare : 0.0);
     const Mix& far = zones_[zone_[s]];
     const double left = far.spare > 0 ? std::max(0.0, 1 - far.over / far.spare) : 0.0;
-    return std::max(kLeast, far_spare_ > 0 ? over * (1 - stays) * spare * left / far_spare_ : 0.0);
+    return std::max(kLeastPart, far_spare_ > 0 ? over * (1 - stays) * spare * left / far_spare_ : 0.0);
 }
 
 bool Rules::pick_writer(const Query& q, ServerIndex& best) {
--- a/src/rules.h
+++ b/src/rules.h
@@ -133,8 +133,9 @@
     bool pick_writer(const Query& q, ServerIndex& best);
 
     double chance();
-    std::uint64_t lot(const Query& q, ServerIndex s);
-    std::ptrdiff_t home_place(const Query& q, std::size_t readers) const;
+    double lot(const Query& q, ServerIndex s);
+    double reader_part(ServerIndex s) const;
+    std::size_t home_place(const Query& q, double readers) const;
     double writer_part(ServerIndex s, ServerIndex reader) const;
     void weigh_cells();
     void grow(ServerIndex s);
@@ -181,10 +182,10 @@
     std::vector<std::uint16_t> zone_;
     std::vector<std::uint32_t> cell_, life_;
     std::vector<std::uint64_t> mark_;
-    std::vector<std::pair<std::uint64_t, ServerIndex>> lots_;
+    std::vector<std::pair<double, ServerIndex>> lots_;
     std::unordered_map<std::uint64_t, std::pair<double, Instant>> popularity_;
     std::vector<Mix> cells_, zones_;
-    double far_spare_ = 0;
+    double far_spare_ = 0, spare_readers_ = 0;
     std::vector<Instant> born_, full_at_, shut_until_, cold_filled_, heard_at_, told_at_;
     std::vector<Span> shut_for_;
     std::vector<double> memory_, unread_, streams_, reported_memory_, reported_unread_, sent_unread_,
