Weigh health as odds against the rest of the role

Cause: with thin evidence eight samples of one server never come; and lost answers shut out nearly all servers, as resets were not bounded. Doubt now gathers from single outcomes against the role's failures and pace. It covers ageing, slow and failing servers; it may hurt where pace differs by kind.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -36,16 +36,20 @@
 constexpr double kLeastPart = 1e-9;  // of what is to be taken only where nothing better is left
 constexpr double kWriterTie = 3.0;   // streams of the size in hand; wider ties lose under overload
 
-// Health. Two plain failures in a row shut a server out; the time out doubles up to a bound so that a server
-// that has come back is found within the span of a common outage.
+// Health. Evidence is weighed as odds: how often an ill server fails, how often one must be thought to fail at
+// the least, and what is far enough from its peers' pace. A doubt of a hundred to one shuts a server out; the
+// time out doubles up to a bound so that a server that has come back is found within the span of a common outage.
 constexpr double kLearn = 0.3;
 constexpr double kLearnPool = 0.05;  // of a figure drawn from a whole role
-constexpr double kShutAt = 0.5;
+constexpr double kIllFails = 0.6;
+constexpr double kFewFail = 0.02;
+constexpr double kSlack = 0.9;    // log of the pace over the peers' that tells nothing yet
+constexpr double kMostSlow = 2.3;  // so that one sample alone shuts out nobody
+constexpr double kShutDoubt = 4.6;
 constexpr Span kShutFirst = kMs * 1000;
 constexpr Span kShutMost = kMs * 8000;
-constexpr double kSlowFactor = 4.0;  // against the mean of the role, in pace
 constexpr double kShutPart = 0.5;    // the most of a role that plain failures and slowness may shut out
-constexpr std::uint32_t kPaceSamples = 8;
+constexpr std::uint64_t kPaceSamples = 8;
 constexpr double kLeastRead = 0.1;  // typical prompts that a read costs even where all of it is kept
 
 // Silence: far past the usual, with a bound from the latency goal.
@@ -141,7 +145,7 @@
     shut_for_.resize(servers_);
     for (auto* figure :
          {&memory_, &unread_, &streams_, &reported_memory_, &reported_unread_, &sent_unread_, &sent_streams_,
-          &newer_unread_, &newer_streams_, &badness_, &pace_, &keep_rate_, &cold_level_})
+          &newer_unread_, &newer_streams_, &doubt_, &failed_, &pace_, &keep_rate_, &cold_level_})
         figure->resize(servers_);
     lost_.resize(servers_);
     paced_.resize(servers_);
@@ -157,7 +161,7 @@
     reported_memory_[s] = reported_unread_[s] = -1;
     told_at_[s] = host_.now() - kMs * 1000;
     unread_[s] = streams_[s] = sent_unread_[s] = sent_streams_[s] = newer_unread_[s] = newer_streams_[s] =
-        badness_[s] = pace_[s] = 0;
+        doubt_[s] = failed_[s] = pace_[s] = 0;
     keep_rate_[s] = 1;
     paced_[s] = waiting_[s] = 0;
     // A random start lets many gateways together send what one rate allows, even where each may send less
@@ -211,6 +215,7 @@
         zones_[cell.zone].over += std::max(0.0, cell.readers - cell.writers);
         zones_[cell.zone].spare += std::max(0.0, cell.writers - cell.readers);
     }
+    peers_ = {writers, readers};
     for (const Mix& cell : cells_) zones_[cell.zone].readers += cell.readers;
     far_spare_ = spare_readers_ = 0;
     for (const Mix& zone : zones_) {
@@ -283,23 +288,48 @@
     return host_.now() >= shut_until_[s] && waiting_[s] == 0;
 }
 
-void Rules::note_good(ServerIndex s) {
-    badness_[s] *= 1 - kLearn;
-    if (badness_[s] < kShutAt && shut_for_[s].us > 0) {
-        shut_for_[s] = {};
-        host_.log("server " + std::to_string(s) + " is let in again");
-    }
+// Doubt in a server is the log of the odds that it is ill rather than like its role, gathered from each outcome
+// against what the role as a whole shows now: a few samples of one server are enough where they stand out, and a
+// fleet that fails or is slow as a whole (answers lost everywhere, an overload) shuts out nobody.
+void Rules::note_good(ServerIndex s) { weigh(s, std::log((1 - kIllFails) / (1 - failing(s, 0.0)))); }
+
+// Against servers that answer fast with errors (and, with the fewest queued, would draw all traffic), fall
+// silent or lose states or streams.
+void Rules::note_bad(ServerIndex s) { weigh(s, std::log(kIllFails / failing(s, 1.0))); }
+
+// The share that fails at the other servers of the role.
+double Rules::failing(ServerIndex s, double sample) {
+    Learned& share = fails_[role_[s] == Role::reader];
+    const double peers = std::max(1.0, peers_[role_[s] == Role::reader]);
+    const double others = peers > 1 ? (share.mean * peers - failed_[s]) / (peers - 1) : share.mean;
+    learn(share, sample, std::min(kLearn, 1 / peers));
+    failed_[s] += kLearn * (sample - failed_[s]);
+    return std::clamp(others, kFewFail, kIllFails);
+}
+
+// Against servers that run slow without failing, or slower and slower.
+void Rules::note_pace(ServerIndex s, double pace) {
+    Learned& peers = paces_[role_[s] == Role::reader];
+    const double off = std::log(std::max(pace, 1e-9)) - peers.mean;
+    if (peers.samples >= kPaceSamples) weigh(s, std::clamp(off - kSlack, -kSlack, kMostSlow));
+    learn(peers, std::log(std::max(pace, 1e-9)), kLearnPool);
+    ++paced_[s];
+    pace_[s] += std::max(kLearn, 1.0 / paced_[s]) * (pace - pace_[s]);
+}
+
+void Rules::weigh(ServerIndex s, double odds) {
+    doubt_[s] = std::max(0.0, doubt_[s] + odds);
+    if (doubt_[s] >= kShutDoubt) return shut_out(s, false);
+    if (shut_for_[s].us == 0) return;
+    shut_for_[s] = {};
+    host_.log("server " + std::to_string(s) + " is let in again");
 }
 
-// Against servers that answer fast with errors (and, with the fewest queued, would draw all traffic), that
-// are gone before the list says so, that fall silent or lose states. At once: no connection, where a second
-// try would only cost the same wait. Plain failures may shut out no more than half of what can be reached of
-// a role, or the rest would drown; what can't be reached counts on neither side, as a dead zone must not keep
-// a failing server in.
-void Rules::note_bad(ServerIndex s, bool at_once, bool lost) {
-    badness_[s] += kLearn * (1 - badness_[s]);
-    if (at_once) badness_[s] = std::max(badness_[s], kShutAt + kLearn / 2);
-    if (badness_[s] < kShutAt) return;
+// Doubt may shut out no more than half of what can be reached of a role, or the rest would drown; what can't
+// be reached, for which one launch is enough as a second would only cost the same wait, counts on neither side,
+// as a dead zone must not keep a failing server in.
+void Rules::shut_out(ServerIndex s, bool lost) {
+    doubt_[s] = kShutDoubt;
     if (!lost && shut_for_[s].us == 0) {
         double peers = 0, shut = 0;
         for (ServerIndex o = 0; o < servers_; ++o) {
@@ -315,24 +345,6 @@
     shut_until_[s] = host_.now() + shut_for_[s];
 }
 
-// Against servers that run slow without failing: their pace is held against that of their peers now, so that
-// a fleet that is slow as a whole shuts out nobody.
-void Rules::note_pace(ServerIndex s, double pace, bool judge) {
-    ++paced_[s];
-    pace_[s] += (paced_[s] < kPaceSamples ? 1.0 / paced_[s] : kLearn) * (pace - pace_[s]);
-    double sum = 0, peers = 0;
-    for (ServerIndex o = 0; o < servers_; ++o) {
-        if (o == s || !ready(o) || role_[o] != role_[s] || paced_[o] < kPaceSamples) continue;
-        sum += pace_[o];
-        ++peers;
-    }
-    if (judge && paced_[s] >= kPaceSamples && peers > 0 && pace_[s] > kSlowFactor * sum / peers) {
-        note_bad(s, false, false);
-    } else {
-        note_good(s);
-    }
-}
-
 // A report may be asked for more often than it is made: the same figure again is the same report, and what
 // was sent before the last answer that still held the old one is in the new one at the earliest.
 void Rules::note_report(ServerIndex s, const LoadReport& report) {
@@ -814,7 +826,8 @@
     q.has_state = false;
     writes_done_ += 1;
     learn(first_time_, took.ms());
-    note_pace(s, took.ms(), false);
+    note_pace(s, took.ms());
+    note_good(s);
     strain_ += 0.05 * ((host_.now() - q.came) / (q.goal - q.came) - strain_);
 }
 
@@ -840,13 +853,14 @@
     const bool local =
         e == Ending::retracted || e == Ending::late || e == Ending::unreachable || e == Ending::unsent;
     if (!local) heard_at_[s] = host_.now();
-    if (e == Ending::unreachable || e == Ending::broken) note_bad(s, e == Ending::unreachable, true);
-    if (e == Ending::error || e == Ending::late) note_bad(s, false, false);
+    if (e == Ending::unreachable) shut_out(s, true);
+    if (e == Ending::error || e == Ending::late || e == Ending::broken) note_bad(s);
     if (e == Ending::full && !outcome.no_state) full_at_[s] = host_.now();
     if (e == Ending::read) {
         reads_done_ += 1;
         learn(read_time_, outcome.took.ms());
-        note_pace(s, outcome.took.ms() / (q.queued_tokens + kLeastRead * prompt_.mean), true);
+        note_good(s);
+        note_pace(s, outcome.took.ms() / (q.queued_tokens + kLeastRead * prompt_.mean));
         learn(kept_share_, outcome.kept_tokens / std::max(1.0, q.facts.prompt_tokens));
         remember_read(q, s, outcome.kept_tokens);
     }
@@ -877,7 +891,7 @@
         if (e == Ending::unsent || q.hard_stop <= host_.now() + terms_.quantum) {
             end(i, Span{0});
         } else if (reading || outcome.no_state) {
-            if (outcome.no_state && q.has_state) note_bad(q.state_at, false, false);
+            if (outcome.no_state && q.has_state) note_bad(q.state_at);
             q.has_state = false;
             retry_or_end(i);
         } else if (ran && terms_.categories[q.facts.category].effect == Effect::effectful) {
@@ -963,7 +977,7 @@
                      (q.goal - q.came) * kSilentGoal);
         if (host_.now() - q.sent < far) continue;
         q.called_off = true;
-        note_bad(q.server, false, false);
+        note_bad(q.server);
         host_.retract(i, q.launches - 1);
     }
     if (out) watch_on();
--- a/src/rules.h
+++ b/src/rules.h
@@ -1,6 +1,7 @@
 // The decisions of one gateway. Each method is one thing that can happen; it acts through the Host.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <random>
@@ -142,8 +143,11 @@
     void forget(ServerIndex s);
     void refill_cold();
     void note_good(ServerIndex s);
-    void note_bad(ServerIndex s, bool at_once, bool lost);
-    void note_pace(ServerIndex s, double pace, bool judge);
+    void note_bad(ServerIndex s);
+    void note_pace(ServerIndex s, double pace);
+    double failing(ServerIndex s, double sample);
+    void weigh(ServerIndex s, double odds);
+    void shut_out(ServerIndex s, bool lost);
     Span read_wait(const Query& q, ServerIndex s) const;
     Span first_wait() const;
     void note_report(ServerIndex s, const LoadReport& report);
@@ -189,11 +193,14 @@
     std::vector<Instant> born_, full_at_, shut_until_, cold_filled_, heard_at_, told_at_;
     std::vector<Span> shut_for_;
     std::vector<double> memory_, unread_, streams_, reported_memory_, reported_unread_, sent_unread_,
-        sent_streams_, newer_unread_, newer_streams_, badness_, pace_, keep_rate_, cold_level_;
+        sent_streams_, newer_unread_, newer_streams_, doubt_, failed_, pace_, keep_rate_, cold_level_;
     std::vector<bool> lost_;
     std::vector<std::uint32_t> paced_, waiting_;
 
     Learned prompt_, read_time_, first_time_, stream_time_, kept_share_, told_memory_, told_unread_;
+    // Of writers and mixed servers, then of readers.
+    std::array<Learned, 2> fails_, paces_;
+    std::array<double, 2> peers_{};
     double probes_due_ = 0;
     std::vector<Learned> work_of_category_;
     Learned work_;
