After a reset read again where the text now lies and take the state for gone

Cause: the work runs and its answer is lost. It covers any loss on the way back; it costs one launch more where a server has died.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -886,7 +886,11 @@
         q.avoid.clear();
         hand_over(i);
     } else {
-        q.avoid.push_back(s);
+        // Against answers lost on their way back: the work is likely to have been done, so the text is kept at
+        // that reader now, and the state has left for that writer; asking the next writer would have it read the
+        // prompt anew, or turn it away. A server that has died turns the next launch away by itself.
+        if (e != Ending::broken || !reading) q.avoid.push_back(s);
+        if (e == Ending::broken && !reading && q.has_state) let_go(i);
         q.parked_since = host_.now();
         if (e == Ending::unsent || q.hard_stop <= host_.now() + terms_.quantum) {
             end(i, Span{0});
@@ -896,17 +900,12 @@
             retry_or_end(i);
         } else if (ran && terms_.categories[q.facts.category].effect == Effect::effectful) {
             end(i, Span{0});
-        } else if (q.has_state) {
-            ServerIndex next = 0;
-            if (e == Ending::full && !any_room(q)) {
-                park(i);
-            } else if (q.launches < terms_.max_launches && pick_writer(q, next)) {
-                hand_over(i);
-            } else {
-                park(i);
-            }
-        } else {
+        } else if (!q.has_state) {
             retry_or_end(i);
+        } else if (e == Ending::full && !any_room(q)) {
+            park(i);
+        } else {
+            hand_over(i);
         }
     }
     serve_lines();
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -175,6 +175,24 @@
     assert(t.sent() == before && t.host.declined.empty() && t.host.given_up.empty());
 }
 
+void answer_lost_on_its_way_back_is_read_again_where_the_text_lies_now() {
+    Story t;
+    t.start();
+    const QueryIndex a = t.arrive(1000, 7);
+    const ServerIndex home = t.last().server;
+    t.ended(a, Ending::broken);
+    t.pass(ms(10));
+    assert(t.sent() == 2 && t.last().server == home);
+    t.ended(a, Ending::read);
+    const ServerIndex writer = t.last().server;
+    assert(is_writer(writer));
+    t.ended(a, Ending::broken);
+    t.pass(ms(10));
+    assert(t.host.released.size() == 1 && t.last().server == home);
+    t.ended(a, Ending::read);
+    assert(is_writer(t.last().server));
+}
+
 void query_that_left_lets_go_of_what_its_read_brings() {
     Story t;
     t.start();
@@ -485,6 +503,7 @@
     no_room_lets_go_of_the_state_in_time();
     reader_lost_before_the_fetch_means_a_new_read();
     stream_that_breaks_is_over();
+    answer_lost_on_its_way_back_is_read_again_where_the_text_lies_now();
     query_that_left_lets_go_of_what_its_read_brings();
     query_that_left_with_a_waiting_state_lets_go_at_once();
     held_query_is_answered_before_its_hard_stop();
