--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -291,8 +291,6 @@
 // Doubt in a server is the log of the odds that it is ill rather than like its role, gathered from each outcome
 // against what the role as a whole shows now: a few samples of one server are enough where they stand out, and a
 // fleet that fails or is slow as a whole (answers lost everywhere, an overload) shuts out nobody.
-void Rules::note_good(ServerIndex s) { weigh(s, std::log((1 - kIllFails) / (1 - failing(s, 0.0)))); }
-
 // Against servers that answer fast with errors (and, with the fewest queued, would draw all traffic), fall
 // silent or lose states or streams.
 void Rules::note_bad(ServerIndex s) { weigh(s, std::log(kIllFails / failing(s, 1.0))); }
@@ -308,13 +306,14 @@
 }
 
 // Against servers that run slow without failing, or slower and slower.
-void Rules::note_pace(ServerIndex s, double pace) {
+void Rules::note_good(ServerIndex s, double pace) {
     Learned& peers = paces_[role_[s] == Role::reader];
-    const double off = std::log(std::max(pace, 1e-9)) - peers.mean;
-    if (peers.samples >= kPaceSamples) weigh(s, std::clamp(off - kSlack, -kSlack, kMostSlow));
-    learn(peers, std::log(std::max(pace, 1e-9)), kLearnPool);
+    const double log_pace = std::log(std::max(pace, 1e-9));
+    const double slow = peers.samples < kPaceSamples ? 0.0 : log_pace - peers.mean - kSlack;
+    learn(peers, log_pace, kLearnPool);
     ++paced_[s];
     pace_[s] += std::max(kLearn, 1.0 / paced_[s]) * (pace - pace_[s]);
+    weigh(s, std::log((1 - kIllFails) / (1 - failing(s, 0.0))) + std::clamp(slow, -kSlack, kMostSlow));
 }
 
 void Rules::weigh(ServerIndex s, double odds) {
@@ -826,8 +825,7 @@
     q.has_state = false;
     writes_done_ += 1;
     learn(first_time_, took.ms());
-    note_pace(s, took.ms());
-    note_good(s);
+    note_good(s, took.ms());
     strain_ += 0.05 * ((host_.now() - q.came) / (q.goal - q.came) - strain_);
 }
 
@@ -859,8 +857,7 @@
     if (e == Ending::read) {
         reads_done_ += 1;
         learn(read_time_, outcome.took.ms());
-        note_good(s);
-        note_pace(s, outcome.took.ms() / (q.queued_tokens + kLeastRead * prompt_.mean));
+        note_good(s, outcome.took.ms() / (q.queued_tokens + kLeastRead * prompt_.mean));
         learn(kept_share_, outcome.kept_tokens / std::max(1.0, q.facts.prompt_tokens));
         remember_read(q, s, outcome.kept_tokens);
     }
--- a/src/rules.h
+++ b/src/rules.h
@@ -142,9 +142,8 @@
     void grow(ServerIndex s);
     void forget(ServerIndex s);
     void refill_cold();
-    void note_good(ServerIndex s);
+    void note_good(ServerIndex s, double pace);
     void note_bad(ServerIndex s);
-    void note_pace(ServerIndex s, double pace);
     double failing(ServerIndex s, double sample);
     void weigh(ServerIndex s, double odds);
     void shut_out(ServerIndex s, bool lost);
