Pass over a jammed home by what reads took there of late; count the client's patience

Cause: with thin evidence own unread tokens never show a jam; homes went on getting reads that took seconds while others were idle. A read's time is now expected from what reads took here, or in the role where that is old, and fades within half a latency goal; a reader that would be late is passed over, and where all would be, the query is held. It covers slow servers, hot beginnings and clients with little time left; it may hurt where a reader's time swings from one read to the next.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -68,6 +68,7 @@
 constexpr double kFillUnkept = 0.5;  // and of that for a prompt of which nothing is kept
 
 constexpr double kRateWindowS = 10.0;
+constexpr double kFresh = 0.5;  // latency goals in which what a read took tells of the next
 constexpr double kStrained = 0.4;           // first-token time over the latency goal
 constexpr double kShareBurstS = 2.0;        // seconds of a client group's share that may come at once
 constexpr double kProbeSpend = 0.002;       // points of the result that probing may cost
@@ -141,7 +142,8 @@
     cell_.resize(servers_);
     mark_.resize(servers_);
     life_.resize(servers_);
-    for (auto* at : {&born_, &full_at_, &shut_until_, &cold_filled_, &heard_at_, &told_at_}) at->resize(servers_);
+    for (auto* at : {&born_, &full_at_, &shut_until_, &cold_filled_, &heard_at_, &told_at_,
+                     &paced_at_}) at->resize(servers_);
     shut_for_.resize(servers_);
     for (auto* figure :
          {&memory_, &unread_, &streams_, &reported_memory_, &reported_unread_, &sent_unread_, &sent_streams_,
@@ -310,7 +312,9 @@
     Learned& peers = paces_[role_[s] == Role::reader];
     const double log_pace = std::log(std::max(pace, 1e-9));
     const double slow = peers.samples < kPaceSamples ? 0.0 : log_pace - peers.mean - kSlack;
+    if (role_[s] == Role::reader) peers_paced_at_ = host_.now();
     learn(peers, log_pace, kLearnPool);
+    paced_at_[s] = host_.now();
     ++paced_[s];
     pace_[s] += std::max(kLearn, 1.0 / paced_[s]) * (pace - pace_[s]);
     weigh(s, std::log((1 - kIllFails) / (1 - failing(s, 0.0))) + std::clamp(slow, -kSlack, kMostSlow));
@@ -372,19 +376,16 @@
     return c.group == Group::all || cell_[s] == cell_[q.ran_at];
 }
 
-const KeptText* Rules::session_text(const Query& q) const {
-    return find_text(sessions_, older_sessions_, q.facts.session);
+Rules::Texts Rules::texts_of(const Query& q) const {
+    return {find_text(sessions_, older_sessions_, q.facts.session),
+            find_text(beginnings_, older_beginnings_, q.facts.beginning)};
 }
 
-const KeptText* Rules::beginning_text(const Query& q) const {
-    return find_text(beginnings_, older_beginnings_, q.facts.beginning);
-}
-
-double Rules::expected_kept(const Query& q, ServerIndex s) const {
+double Rules::expected_kept(const Query& q, const Texts& texts, ServerIndex s) const {
     double kept = 0;
-    if (const KeptText* t = session_text(q))
+    if (const KeptText* t = texts.session)
         if (t->reader == s && t->life == life_[s]) kept = t->tokens;
-    if (const KeptText* t = beginning_text(q))
+    if (const KeptText* t = texts.beginning)
         if (t->reader == s && t->life == life_[s]) kept = std::max(kept, q.facts.beginning_tokens);
     return std::min(kept, q.facts.prompt_tokens) * keep_rate_[s];
 }
@@ -466,13 +467,15 @@
 }
 
 bool Rules::pick_reader(const Query& q, ServerIndex& best) {
+    const Texts texts = texts_of(q);
+    const Span first = first_wait();
     // Passes over what this query has just found bad, then only what is shut out, then only what was full.
     for (const int pass : {0, 1, 2}) {
         const auto fit = [&](ServerIndex s) {
             const bool by_role = reads(s) || (pass > 0 && terms_.writers_read);
             if (!by_role || !may_go(q, s) || !may_take(s)) return false;
             if (pass < 2 && !is_open(s)) return false;
-            if (host_.now() - full_at_[s] < kFullFor) return false;
+            if (host_.now() - full_at_[s] < kFullFor || read_late(q, texts, s, first)) return false;
             return pass > 0 || std::find(q.avoid.begin(), q.avoid.end(), s) == q.avoid.end();
         };
         double least = std::numeric_limits<double>::infinity();
@@ -480,11 +483,9 @@
             if (fit(s) && (reads(s) || pass == 2)) least = std::min(least, reader_load(s));
         if (std::isinf(least)) continue;
         const double typical = prompt_.mean;
-        for (const KeptText* t : {session_text(q)}) {
-            if (!t || t->life != life_[t->reader] || !fit(t->reader)) continue;
-            if (reader_load(t->reader) > least + kKeptMargin * typical) continue;
+        if (const KeptText* t = texts.session; t && t->life == life_[t->reader] && fit(t->reader)) {
             best = t->reader;
-            return true;
+            if (reader_load(best) <= least + kKeptMargin * typical) return true;
         }
         double readers = 0;
         const auto gather = [&](double margin) {
@@ -556,12 +557,26 @@
     return false;
 }
 
-// What a read sent now would take, by what reads took here of late for each token that this gateway had
-// queued.
-Span Rules::read_wait(const Query& q, ServerIndex s) const {
-    const double tokens =
-        unread_[s] + q.facts.prompt_tokens - expected_kept(q, s) + kLeastRead * prompt_.mean;
-    return paced_[s] > 0 ? kMs * (pace_[s] * tokens) : Span{0};
+// What a read sent now would take, by what reads took of late for each token that this gateway had queued: here,
+// as far as that is fresh, else at the role as a whole. Both fade, so that a jam that is over is found out.
+Span Rules::read_wait(ServerIndex s, double tokens, Span goal) const {
+    const auto fresh = [&](Instant at) { return std::exp((at - host_.now()) / goal / kFresh); };
+    const Learned& peers = paces_[1];
+    const double usual = peers.samples > 0 ? std::exp(peers.mean) * fresh(peers_paced_at_) : 0;
+    const double pace = paced_[s] > 0 ? usual + (pace_[s] - usual) * fresh(paced_at_[s]) : usual;
+    return kMs * (pace * (unread_[s] + tokens + kLeastRead * prompt_.mean));
+}
+
+// Against jams: a read that would end past the latency goal, or past the client's patience, only makes those behind
+// it late as well. What was kept for the most part passes more easily: it costs the jam least for the same gain. A
+// text never met here may lie anywhere, above all after a restart of this gateway: the usual share is taken.
+bool Rules::read_late(const Query& q, const Texts& texts, ServerIndex s, Span first) const {
+    const double kept = expected_kept(q, texts, s);
+    const double share =
+        texts.session || texts.beginning ? kept / std::max(1.0, q.facts.prompt_tokens) : kept_share_.mean;
+    const double fill = kFillGoal * (kFillUnkept + (1 - kFillUnkept) * share);
+    return host_.now() + read_wait(s, q.facts.prompt_tokens - kept, q.goal - q.came) + first >
+           q.came + (std::min(q.goal, q.hard_stop) - q.came) * fill;
 }
 
 // The shortest wait for a first token among the writers, as far as this gateway has launches out that tell of
@@ -591,7 +606,7 @@
     ++q.launches;
     ++waiting_[s];
     if (reading) {
-        q.read_tokens = q.facts.prompt_tokens - expected_kept(q, s);
+        q.read_tokens = q.facts.prompt_tokens - expected_kept(q, texts_of(q), s);
         unread_[s] += q.read_tokens;
         sent_unread_[s] += q.read_tokens;
         newer_unread_[s] += q.read_tokens;
@@ -679,15 +694,6 @@
     if (!any_room(q)) return false;
     ServerIndex s = 0;
     if (!pick_reader(q, s)) return false;
-    // Against jams: a read that would end past the latency goal only makes those behind it late as well.
-    // What was kept for the most part passes more easily: it costs the jam least for the same gain.
-    // A text never met here may lie anywhere, above all after a restart of this gateway: the usual share is
-    // taken.
-    const bool met = session_text(q) || beginning_text(q);
-    const double kept = met ? expected_kept(q, s) / std::max(1.0, q.facts.prompt_tokens) : kept_share_.mean;
-    const double fill = kFillGoal * (kFillUnkept + (1 - kFillUnkept) * kept);
-    if (waiting_[s] > 0 && host_.now() + read_wait(q, s) + first_wait() > q.came + (q.goal - q.came) * fill)
-        return false;
     send(i, s, true);
     return true;
 }
@@ -831,7 +837,7 @@
 
 void Rules::remember_read(const Query& q, ServerIndex s, double kept) {
     const double expected =
-        std::min(q.facts.prompt_tokens, expected_kept(q, s) / std::max(0.05, keep_rate_[s]));
+        std::min(q.facts.prompt_tokens, expected_kept(q, texts_of(q), s) / std::max(0.05, keep_rate_[s]));
     if (expected > 0) keep_rate_[s] += kLearn * (std::min(1.0, kept / expected) - keep_rate_[s]);
     keep_rate_[s] = std::max(keep_rate_[s], 0.05);
     if (q.facts.session != 0)
--- a/src/rules.h
+++ b/src/rules.h
@@ -122,9 +122,13 @@
     bool may_go(const Query& q, ServerIndex s) const;
     bool shows_room(ServerIndex s) const;
     bool any_room(const Query& q) const;
-    const KeptText* session_text(const Query& q) const;
-    const KeptText* beginning_text(const Query& q) const;
-    double expected_kept(const Query& q, ServerIndex s) const;
+    // What this gateway knows of where a query's texts lie; null: nothing.
+    struct Texts {
+        const KeptText* session;
+        const KeptText* beginning;
+    };
+    Texts texts_of(const Query& q) const;
+    double expected_kept(const Query& q, const Texts& texts, ServerIndex s) const;
     double stream_estimate(const Query& q) const;
     double told(ServerIndex s, const std::vector<double>& figure, const Learned& average) const;
     double reader_load(ServerIndex s) const;
@@ -147,7 +151,8 @@
     double failing(ServerIndex s, double sample);
     void weigh(ServerIndex s, double odds);
     void shut_out(ServerIndex s, bool lost);
-    Span read_wait(const Query& q, ServerIndex s) const;
+    Span read_wait(ServerIndex s, double tokens, Span goal) const;
+    bool read_late(const Query& q, const Texts& texts, ServerIndex s, Span first) const;
     Span first_wait() const;
     void note_report(ServerIndex s, const LoadReport& report);
     void remember_read(const Query& q, ServerIndex s, double kept);
@@ -189,7 +194,8 @@
     std::unordered_map<std::uint64_t, std::pair<double, Instant>> popularity_;
     std::vector<Mix> cells_, zones_;
     double far_spare_ = 0, spare_readers_ = 0;
-    std::vector<Instant> born_, full_at_, shut_until_, cold_filled_, heard_at_, told_at_;
+    std::vector<Instant> born_, full_at_, shut_until_, cold_filled_, heard_at_, told_at_, paced_at_;
+    Instant peers_paced_at_;
     std::vector<Span> shut_for_;
     std::vector<double> memory_, unread_, streams_, reported_memory_, reported_unread_, sent_unread_,
         sent_streams_, newer_unread_, newer_streams_, doubt_, failed_, pace_, keep_rate_, cold_level_;
