Count in a read's pace the tokens that were really read

Cause: the pace was taken over the tokens that were expected; where kept texts were lost it rose as if readers jammed.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -850,6 +850,7 @@
     Query& q = queries_[i];
     const bool reading = q.stage == Stage::reading;
     const bool at_reader = q.at_reader;
+    const double ahead = std::max(0.0, q.queued_tokens - q.read_tokens);
     settle_books(q);
     note_report(s, outcome.report);
 
@@ -863,7 +864,8 @@
     if (e == Ending::read) {
         reads_done_ += 1;
         learn(read_time_, outcome.took.ms());
-        note_good(s, outcome.took.ms() / (q.queued_tokens + kLeastRead * prompt_.mean));
+        const double read = ahead + q.facts.prompt_tokens - outcome.kept_tokens;
+        note_good(s, outcome.took.ms() / (read + kLeastRead * prompt_.mean));
         learn(kept_share_, outcome.kept_tokens / std::max(1.0, q.facts.prompt_tokens));
         remember_read(q, s, outcome.kept_tokens);
     }
