--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -559,23 +559,25 @@
 
 // What a read sent now would take, by what reads took of late for each token that this gateway had queued: here,
 // as far as that is fresh, else at the role as a whole. Both fade, so that a jam that is over is found out.
-Span Rules::read_wait(ServerIndex s, double tokens, Span goal) const {
+double Rules::pace_now(ServerIndex s, Span goal) const {
     const auto fresh = [&](Instant at) { return std::exp((at - host_.now()) / goal / kFresh); };
-    const Learned& peers = paces_[1];
-    const double usual = peers.samples > 0 ? std::exp(peers.mean) * fresh(peers_paced_at_) : 0;
-    const double pace = paced_[s] > 0 ? usual + (pace_[s] - usual) * fresh(paced_at_[s]) : usual;
-    return kMs * (pace * (unread_[s] + tokens + kLeastRead * prompt_.mean));
+    const double usual = paces_[1].samples > 0 ? std::exp(paces_[1].mean) * fresh(peers_paced_at_) : 0;
+    return paced_[s] > 0 ? usual + (pace_[s] - usual) * fresh(paced_at_[s]) : usual;
 }
 
 // Against jams: a read that would end past the latency goal, or past the client's patience, only makes those behind
 // it late as well. What was kept for the most part passes more easily: it costs the jam least for the same gain. A
-// text never met here may lie anywhere, above all after a restart of this gateway: the usual share is taken.
+// text never met here may lie anywhere, above all after a restart of this gateway: the usual share is taken. A
+// long prompt counts as a typical one where nothing of ours is out, or it would never pass.
 bool Rules::read_late(const Query& q, const Texts& texts, ServerIndex s, Span first) const {
+    const double pace = pace_now(s, q.goal - q.came);
     const double kept = expected_kept(q, texts, s);
     const double share =
         texts.session || texts.beginning ? kept / std::max(1.0, q.facts.prompt_tokens) : kept_share_.mean;
     const double fill = kFillGoal * (kFillUnkept + (1 - kFillUnkept) * share);
-    return host_.now() + read_wait(s, q.facts.prompt_tokens - kept, q.goal - q.came) + first >
+    const double own = q.facts.prompt_tokens - kept;
+    const double tokens = waiting_[s] > 0 ? unread_[s] + own : std::min(own, prompt_.mean);
+    return host_.now() + kMs * (pace * (tokens + kLeastRead * prompt_.mean)) + first >
            q.came + (std::min(q.goal, q.hard_stop) - q.came) * fill;
 }
 
--- a/src/rules.h
+++ b/src/rules.h
@@ -151,7 +151,7 @@
     double failing(ServerIndex s, double sample);
     void weigh(ServerIndex s, double odds);
     void shut_out(ServerIndex s, bool lost);
-    Span read_wait(ServerIndex s, double tokens, Span goal) const;
+    double pace_now(ServerIndex s, Span goal) const;
     bool read_late(const Query& q, const Texts& texts, ServerIndex s, Span first) const;
     Span first_wait() const;
     void note_report(ServerIndex s, const LoadReport& report);
