--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -576,7 +576,7 @@
         texts.session || texts.beginning ? kept / std::max(1.0, q.facts.prompt_tokens) : kept_share_.mean;
     const double fill = kFillGoal * (kFillUnkept + (1 - kFillUnkept) * share);
     const double own = q.facts.prompt_tokens - kept;
-    const double tokens = waiting_[s] > 0 ? unread_[s] + own : std::min(own, prompt_.mean);
+    const double tokens = waiting_[s] > 0 ? unread_[s] + own : std::min(own, 2 * prompt_.mean);
     return host_.now() + kMs * (pace * (tokens + kLeastRead * prompt_.mean)) + first >
            q.came + (std::min(q.goal, q.hard_stop) - q.came) * fill;
 }
