--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -36,19 +36,20 @@
 constexpr double kLeastPart = 1e-9;  // of what is to be taken only where nothing better is left
 constexpr double kWriterTie = 3.0;   // streams of the size in hand; wider ties lose under overload
 
-// Health. Evidence is weighed as odds: how often an ill server fails, how often one must be thought to fail at
-// the least, and what is far enough from its peers' pace. A doubt of a hundred to one shuts a server out; the
-// time out doubles up to a bound so that a server that has come back is found within the span of a common outage.
+// Health. Evidence is weighed as odds: how often an ill server fails, how often one must be thought to fail
+// at the least, and what is far enough from its peers' pace. A doubt of a hundred to one shuts a server out;
+// the time out doubles up to a bound so that a server that has come back is found within the span of a common
+// outage.
 constexpr double kLearn = 0.3;
 constexpr double kLearnPool = 0.05;  // of a figure drawn from a whole role
 constexpr double kIllFails = 0.6;
 constexpr double kFewFail = 0.02;
-constexpr double kSlack = 0.9;    // log of the pace over the peers' that tells nothing yet
+constexpr double kSlack = 0.9;     // log of the pace over the peers' that tells nothing yet
 constexpr double kMostSlow = 2.3;  // so that one sample alone shuts out nobody
 constexpr double kShutDoubt = 4.6;
 constexpr Span kShutFirst = kMs * 1000;
 constexpr Span kShutMost = kMs * 8000;
-constexpr double kShutPart = 0.5;    // the most of a role that plain failures and slowness may shut out
+constexpr double kShutPart = 0.5;  // the most of a role that plain failures and slowness may shut out
 constexpr std::uint64_t kPaceSamples = 8;
 constexpr double kLeastRead = 0.1;  // typical prompts that a read costs even where all of it is kept
 
@@ -68,13 +69,13 @@
 constexpr double kFillUnkept = 0.5;  // and of that for a prompt of which nothing is kept
 
 constexpr double kRateWindowS = 10.0;
-constexpr double kFresh = 0.5;  // latency goals in which what a read took tells of the next
+constexpr double kFresh = 0.5;              // latency goals in which what a read took tells of the next
 constexpr double kStrained = 0.4;           // first-token time over the latency goal
 constexpr double kShareBurstS = 2.0;        // seconds of a client group's share that may come at once
 constexpr double kProbeSpend = 0.002;       // points of the result that probing may cost
 constexpr double kProbeSpendTight = 0.006;  // and while writers' memory is over this share
 constexpr double kTightShare = 0.7;
-constexpr double kProbesMost = 3.0;  // for a query
+constexpr double kProbesMost = 3.0;        // for a query
 constexpr std::size_t kTextsKept = 20000;  // sessions remembered in each of two generations
 
 constexpr TimerKey kSweepKey = 1, kListKey = 2, kWatchKey = 3;
@@ -142,12 +143,12 @@
     cell_.resize(servers_);
     mark_.resize(servers_);
     life_.resize(servers_);
-    for (auto* at : {&born_, &full_at_, &shut_until_, &cold_filled_, &heard_at_, &told_at_,
-                     &paced_at_}) at->resize(servers_);
+    for (auto* at : {&born_, &full_at_, &shut_until_, &cold_filled_, &heard_at_, &told_at_, &paced_at_})
+        at->resize(servers_);
     shut_for_.resize(servers_);
     for (auto* figure :
          {&memory_, &unread_, &streams_, &reported_memory_, &reported_unread_, &sent_unread_, &sent_streams_,
-          &newer_unread_, &newer_streams_, &doubt_, &failed_, &pace_, &keep_rate_, &cold_level_})
+          &newer_unread_, &newer_streams_, &doubt_, &failed_, &pace_, &cold_level_})
         figure->resize(servers_);
     lost_.resize(servers_);
     paced_.resize(servers_);
@@ -164,7 +165,6 @@
     told_at_[s] = host_.now() - kMs * 1000;
     unread_[s] = streams_[s] = sent_unread_[s] = sent_streams_[s] = newer_unread_[s] = newer_streams_[s] =
         doubt_[s] = failed_[s] = pace_[s] = 0;
-    keep_rate_[s] = 1;
     paced_[s] = waiting_[s] = 0;
     // A random start lets many gateways together send what one rate allows, even where each may send less
     // than one.
@@ -290,9 +290,9 @@
     return host_.now() >= shut_until_[s] && waiting_[s] == 0;
 }
 
-// Doubt in a server is the log of the odds that it is ill rather than like its role, gathered from each outcome
-// against what the role as a whole shows now: a few samples of one server are enough where they stand out, and a
-// fleet that fails or is slow as a whole (answers lost everywhere, an overload) shuts out nobody.
+// Doubt in a server is the log of the odds that it is ill rather than like its role, gathered from each
+// outcome against what the role as a whole shows now: a few samples of one server are enough where they stand
+// out, and a fleet that fails or is slow as a whole (answers lost everywhere, an overload) shuts out nobody.
 // Against servers that answer fast with errors (and, with the fewest queued, would draw all traffic), fall
 // silent or lose states or streams.
 void Rules::note_bad(ServerIndex s) { weigh(s, std::log(kIllFails / failing(s, 1.0))); }
@@ -329,8 +329,8 @@
 }
 
 // Doubt may shut out no more than half of what can be reached of a role, or the rest would drown; what can't
-// be reached, for which one launch is enough as a second would only cost the same wait, counts on neither side,
-// as a dead zone must not keep a failing server in.
+// be reached, for which one launch is enough as a second would only cost the same wait, counts on neither
+// side, as a dead zone must not keep a failing server in.
 void Rules::shut_out(ServerIndex s, bool lost) {
     doubt_[s] = kShutDoubt;
     if (!lost && shut_for_[s].us == 0) {
@@ -387,7 +387,7 @@
         if (t->reader == s && t->life == life_[s]) kept = t->tokens;
     if (const KeptText* t = texts.beginning)
         if (t->reader == s && t->life == life_[s]) kept = std::max(kept, q.facts.beginning_tokens);
-    return std::min(kept, q.facts.prompt_tokens) * keep_rate_[s];
+    return std::min(kept, q.facts.prompt_tokens);
 }
 
 // The output estimate is the client's hint, or half of the most that it allows.
@@ -398,11 +398,13 @@
     return q.facts.prompt_tokens + answer;
 }
 
-// Servers not heard of count as the average of those heard of. A report fades into that average as the streams
-// that it counted end, or gateways that hear of a server once in a while would all trust what is long gone.
+// Servers not heard of count as the average of those heard of. A report fades into that average as the
+// streams that it counted end, or gateways that hear of a server once in a while would all trust what is long
+// gone.
 double Rules::told(ServerIndex s, const std::vector<double>& figure, const Learned& average) const {
     if (figure[s] < 0) return average.mean;
-    const double streams = stream_time_.mean > 0 ? seconds(host_.now() - told_at_[s]) * 1000 / stream_time_.mean : 0;
+    const double streams =
+        stream_time_.mean > 0 ? seconds(host_.now() - told_at_[s]) * 1000 / stream_time_.mean : 0;
     return average.mean + (figure[s] - average.mean) * std::exp(-streams);
 }
 
@@ -438,12 +440,11 @@
     best = s;
 }
 
-// Against texts that every gateway has read somewhere else: among the readers that tie, a text's home is drawn by
-// a lot that falls alike at all gateways, so that it is the likeliest to have read the text last. A beginning
-// that many sessions share has as many homes as its part of the traffic would keep busy, and the session tells
-// which of them.
-// The lot is drawn by the part of a reader's work that is this zone's (reader_part), so that a zone with few
-// readers does not drown them.
+// Against texts that every gateway has read somewhere else: among the readers that tie, a text's home is
+// drawn by a lot that falls alike at all gateways, so that it is the likeliest to have read the text last. A
+// beginning that many sessions share has as many homes as its part of the traffic would keep busy, and the
+// session tells which of them. The lot is drawn by the part of a reader's work that is this zone's
+// (reader_part), so that a zone with few readers does not drown them.
 double Rules::lot(const Query& q, ServerIndex s) {
     const std::uint64_t text = q.facts.beginning != 0 ? q.facts.beginning : q.facts.session;
     const double drawn = text != 0 ? unit(mixed(text ^ mixed(mark_[s]))) : chance();
@@ -468,14 +469,13 @@
 
 bool Rules::pick_reader(const Query& q, ServerIndex& best) {
     const Texts texts = texts_of(q);
-    const Span first = first_wait();
     // Passes over what this query has just found bad, then only what is shut out, then only what was full.
     for (const int pass : {0, 1, 2}) {
         const auto fit = [&](ServerIndex s) {
             const bool by_role = reads(s) || (pass > 0 && terms_.writers_read);
             if (!by_role || !may_go(q, s) || !may_take(s)) return false;
             if (pass < 2 && !is_open(s)) return false;
-            if (host_.now() - full_at_[s] < kFullFor || read_late(q, texts, s, first)) return false;
+            if (host_.now() - full_at_[s] < kFullFor || read_late(q, texts, s)) return false;
             return pass > 0 || std::find(q.avoid.begin(), q.avoid.end(), s) == q.avoid.end();
         };
         double least = std::numeric_limits<double>::infinity();
@@ -512,15 +512,17 @@
     return false;
 }
 
-// Against cells whose writers drown because all gateways favour the reader's cell at once: ties favour it only
-// as far as its writers' part of all writers matches its readers' part of all readers. What is over goes to
-// cells with writers to spare, of the same zone first. If every gateway draws so, each writer gets its part.
+// Against cells whose writers drown because all gateways favour the reader's cell at once: ties favour it
+// only as far as its writers' part of all writers matches its readers' part of all readers. What is over goes
+// to cells with writers to spare, of the same zone first. If every gateway draws so, each writer gets its
+// part.
 double Rules::writer_part(ServerIndex s, ServerIndex reader) const {
     const Mix& here = cells_[cell_[reader]];
     const Mix& there = cells_[cell_[s]];
     const Mix& zone = zones_[zone_[reader]];
     if (there.writers <= 0 || here.readers <= 0) return kLeastPart;
-    if (cell_[s] == cell_[reader]) return std::max(kLeastPart, std::min(here.readers, here.writers) / there.writers);
+    if (cell_[s] == cell_[reader])
+        return std::max(kLeastPart, std::min(here.readers, here.writers) / there.writers);
     const double over = std::max(0.0, here.readers - here.writers);
     const double stays = zone.over > 0 ? std::min(1.0, zone.spare / zone.over) : 1.0;
     const double spare = std::max(0.0, there.writers - there.readers) / there.writers;
@@ -557,19 +559,20 @@
     return false;
 }
 
-// What a read sent now would take, by what reads took of late for each token that this gateway had queued: here,
-// as far as that is fresh, else at the role as a whole. Both fade, so that a jam that is over is found out.
+// What a read sent now would take, by what reads took of late for each token that this gateway had queued:
+// here, as far as that is fresh, else at the role as a whole. Both fade, so that a jam that is over is found
+// out.
 double Rules::pace_now(ServerIndex s, Span goal) const {
     const auto fresh = [&](Instant at) { return std::exp((at - host_.now()) / goal / kFresh); };
     const double usual = paces_[1].samples > 0 ? std::exp(paces_[1].mean) * fresh(peers_paced_at_) : 0;
     return paced_[s] > 0 ? usual + (pace_[s] - usual) * fresh(paced_at_[s]) : usual;
 }
 
-// Against jams: a read that would end past the latency goal, or past the client's patience, only makes those behind
-// it late as well. What was kept for the most part passes more easily: it costs the jam least for the same gain. A
-// text never met here may lie anywhere, above all after a restart of this gateway: the usual share is taken. A
-// long prompt counts as a typical one where nothing of ours is out, or it would never pass.
-bool Rules::read_late(const Query& q, const Texts& texts, ServerIndex s, Span first) const {
+// Against jams: a read that would end past the latency goal, or past the client's patience, only makes those
+// behind it late as well. What was kept for the most part passes more easily: it costs the jam least for the
+// same gain. A text never met here may lie anywhere, above all after a restart of this gateway: the usual
+// share is taken. A long prompt counts as a typical one where nothing of ours is out, or it would never pass.
+bool Rules::read_late(const Query& q, const Texts& texts, ServerIndex s) const {
     const double pace = pace_now(s, q.goal - q.came);
     const double kept = expected_kept(q, texts, s);
     const double share =
@@ -577,22 +580,10 @@
     const double fill = kFillGoal * (kFillUnkept + (1 - kFillUnkept) * share);
     const double own = q.facts.prompt_tokens - kept;
     const double tokens = waiting_[s] > 0 ? unread_[s] + own : std::min(own, 2 * prompt_.mean);
-    return host_.now() + kMs * (pace * (tokens + kLeastRead * prompt_.mean)) + first >
+    return host_.now() + kMs * (pace * (tokens + kLeastRead * prompt_.mean)) >
            q.came + (std::min(q.goal, q.hard_stop) - q.came) * fill;
 }
 
-// The shortest wait for a first token among the writers, as far as this gateway has launches out that tell of
-// it.
-Span Rules::first_wait() const {
-    double least = -1;
-    for (ServerIndex s = 0; s < servers_; ++s) {
-        if (!writes(s) || !is_open(s)) continue;
-        const double wait = waiting_[s] > 0 ? pace_[s] : 0;
-        if (least < 0 || wait < least) least = wait;
-    }
-    return kMs * std::max(0.0, least);
-}
-
 // ---- launches
 
 void Rules::send(QueryIndex i, ServerIndex s, bool reading) {
@@ -837,11 +828,7 @@
     strain_ += 0.05 * ((host_.now() - q.came) / (q.goal - q.came) - strain_);
 }
 
-void Rules::remember_read(const Query& q, ServerIndex s, double kept) {
-    const double expected =
-        std::min(q.facts.prompt_tokens, expected_kept(q, texts_of(q), s) / std::max(0.05, keep_rate_[s]));
-    if (expected > 0) keep_rate_[s] += kLearn * (std::min(1.0, kept / expected) - keep_rate_[s]);
-    keep_rate_[s] = std::max(keep_rate_[s], 0.05);
+void Rules::remember_read(const Query& q, ServerIndex s) {
     if (q.facts.session != 0)
         keep_text(sessions_, older_sessions_, q.facts.session, {s, life_[s], q.facts.prompt_tokens});
     if (q.facts.beginning != 0)
@@ -869,7 +856,7 @@
         const double read = ahead + q.facts.prompt_tokens - outcome.kept_tokens;
         note_good(s, outcome.took.ms() / (read + kLeastRead * prompt_.mean));
         learn(kept_share_, outcome.kept_tokens / std::max(1.0, q.facts.prompt_tokens));
-        remember_read(q, s, outcome.kept_tokens);
+        remember_read(q, s);
     }
     if (e == Ending::settled) learn(stream_time_, outcome.took.ms());
     if (e == Ending::late) learn(at_reader ? read_time_ : first_time_, outcome.took.ms());
@@ -893,9 +880,9 @@
         q.avoid.clear();
         hand_over(i);
     } else {
-        // Against answers lost on their way back: the work is likely to have been done, so the text is kept at
-        // that reader now, and the state has left for that writer; asking the next writer would have it read the
-        // prompt anew, or turn it away. A server that has died turns the next launch away by itself.
+        // Against answers lost on their way back: the work is likely to have been done, so the text is kept
+        // at that reader now, and the state has left for that writer; asking the next writer would have it
+        // read the prompt anew, or turn it away. A server that has died turns the next launch away by itself.
         if (e != Ending::broken || !reading) q.avoid.push_back(s);
         if (e == Ending::broken && !reading && q.has_state) let_go(i);
         q.parked_since = host_.now();
--- a/src/rules.h
+++ b/src/rules.h
@@ -23,7 +23,7 @@
     std::uint16_t kind = 0;
     std::uint16_t zone = 0;
     std::uint32_t cell = 0;  // dense
-    Instant born;  // 0: long ago
+    Instant born;            // 0: long ago
     Standing standing = Standing::ready;
     std::uint64_t mark = 0;  // alike at all gateways; tells nothing of the server
 };
@@ -152,10 +152,9 @@
     void weigh(ServerIndex s, double odds);
     void shut_out(ServerIndex s, bool lost);
     double pace_now(ServerIndex s, Span goal) const;
-    bool read_late(const Query& q, const Texts& texts, ServerIndex s, Span first) const;
-    Span first_wait() const;
+    bool read_late(const Query& q, const Texts& texts, ServerIndex s) const;
     void note_report(ServerIndex s, const LoadReport& report);
-    void remember_read(const Query& q, ServerIndex s, double kept);
+    void remember_read(const Query& q, ServerIndex s);
 
     void send(QueryIndex i, ServerIndex s, bool reading);
     void settle_books(Query& q);
@@ -198,7 +197,7 @@
     Instant peers_paced_at_;
     std::vector<Span> shut_for_;
     std::vector<double> memory_, unread_, streams_, reported_memory_, reported_unread_, sent_unread_,
-        sent_streams_, newer_unread_, newer_streams_, doubt_, failed_, pace_, keep_rate_, cold_level_;
+        sent_streams_, newer_unread_, newer_streams_, doubt_, failed_, pace_, cold_level_;
     std::vector<bool> lost_;
     std::vector<std::uint32_t> paced_, waiting_;
 
