--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -581,7 +581,7 @@
     const double own = q.facts.prompt_tokens - kept;
     const double tokens = waiting_[s] > 0 ? unread_[s] + own : std::min(own, 2 * prompt_.mean);
     return host_.now() + kMs * (pace * (tokens + kLeastRead * prompt_.mean)) >
-           q.came + (std::min(q.goal, q.hard_stop) - q.came) * fill;
+           q.came + (of_use_until(q) - q.came) * fill;
 }
 
 // ---- launches
@@ -691,6 +691,13 @@
     return true;
 }
 
+// Against queries that wait only to be answered too late: the client may do better elsewhere. One that has
+// been launched has cost its work, most of which is kept where it lies; declined, it would come again as a
+// new one.
+Instant Rules::of_use_until(const Query& q) const {
+    return q.answer_lost ? q.hard_stop : std::min(q.goal, q.hard_stop);
+}
+
 void Rules::serve_lines() {
     refill_cold();
     const Instant now = host_.now();
@@ -702,11 +709,16 @@
             line->pop_front();
             if (queries_[i].serial != serial || queries_[i].stage != stage) continue;
             if (start(i)) continue;
-            // Against queries that wait only to be answered too late: the client may do better elsewhere.
-            if (now + usual > std::min(queries_[i].goal, queries_[i].hard_stop) && now > queries_[i].came) {
+            if (now + usual > of_use_until(queries_[i]) && now > queries_[i].came) {
                 end(i, terms_.max_stay_away);
                 continue;
             }
+            // Against a state that a read left behind after its answer was lost.
+            Query& q = queries_[i];
+            if (q.launches > 0 && now - q.parked_since >= terms_.release_within * 0.4) {
+                host_.release(i);
+                q.parked_since = now;
+            }
             line->emplace_back(i, serial);
         }
     }
@@ -880,17 +892,20 @@
         q.avoid.clear();
         hand_over(i);
     } else {
-        // Against answers lost on their way back: the work is likely to have been done, so the text is kept
-        // at that reader now, and the state has left for that writer; asking the next writer would have it
-        // read the prompt anew, or turn it away. A server that has died turns the next launch away by itself.
-        if (e != Ending::broken || !reading) q.avoid.push_back(s);
-        if (e == Ending::broken && !reading && q.has_state) let_go(i);
+        // Against answers lost on their way back, by a reset or in silence: the work is likely to have been
+        // done, so the text is kept at that reader now, and the state has left for that writer; asking the
+        // next writer would have it read the prompt anew, or turn it away. A server that has died turns the
+        // next launch away by itself; it may hurt where one hangs.
+        const bool answer_lost = e == Ending::broken || e == Ending::retracted;
+        q.answer_lost |= answer_lost;
+        if (!reading || !answer_lost) q.avoid.push_back(s);
+        if (!reading && answer_lost && q.has_state) let_go(i);
         q.parked_since = host_.now();
         if (e == Ending::unsent || q.hard_stop <= host_.now() + terms_.quantum) {
             end(i, Span{0});
         } else if (reading || outcome.no_state) {
             if (outcome.no_state && q.has_state) note_bad(q.state_at);
-            q.has_state = false;
+            let_go(i);
             retry_or_end(i);
         } else if (ran && terms_.categories[q.facts.category].effect == Effect::effectful) {
             end(i, Span{0});
--- a/src/rules.h
+++ b/src/rules.h
@@ -75,6 +75,7 @@
     Instant parked_since, sent;
     double read_tokens = 0, stream_tokens = 0, queued_tokens = 0;
     std::vector<ServerIndex> avoid;
+    bool answer_lost = false;
     bool may_have_run = false;
     ServerIndex ran_at = 0;
     Instant ran_since;
@@ -166,6 +167,7 @@
     void retry_or_end(QueryIndex i);
     void end(QueryIndex i, Span stay_away);
     void over(QueryIndex i);
+    Instant of_use_until(const Query& q) const;
     void serve_lines();
     void serve_parked();
     void wake_soon(Span after);
