Ask for a read in silence elsewhere again, for a reset one where its text lies

Cause: a reader that says nothing may hang or be slow (flush, ageing), and asked again it kept the query.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -892,14 +892,15 @@
         q.avoid.clear();
         hand_over(i);
     } else {
-        // Against answers lost on their way back, by a reset or in silence: the work is likely to have been
-        // done, so the text is kept at that reader now, and the state has left for that writer; asking the
-        // next writer would have it read the prompt anew, or turn it away. A server that has died turns the
-        // next launch away by itself; it may hurt where one hangs.
-        const bool answer_lost = e == Ending::broken || e == Ending::retracted;
-        q.answer_lost |= answer_lost;
-        if (!reading || !answer_lost) q.avoid.push_back(s);
-        if (!reading && answer_lost && q.has_state) let_go(i);
+        // Against answers lost on their way back: the work is likely to have been done, so the text is kept
+        // at that reader now, and the state has left for that writer; asking the next writer would have it
+        // read the prompt anew, or turn it away. A server that has died turns the next launch away by itself;
+        // one that is silent may hang, so its text is read elsewhere.
+        if (!reading || e != Ending::broken) q.avoid.push_back(s);
+        if (e == Ending::broken || e == Ending::retracted) {
+            q.answer_lost = true;
+            if (!reading && q.has_state) let_go(i);
+        }
         q.parked_since = host_.now();
         if (e == Ending::unsent || q.hard_stop <= host_.now() + terms_.quantum) {
             end(i, Span{0});
