--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -88,6 +88,47 @@
     assert(t.last().server != home);  // over 9,000 tokens against none, and a typical prompt is 2,600
 }
 
+void text_has_the_same_home_at_gateways_that_never_met_it() {
+    Story one, other;
+    for (Story* t : {&one, &other}) {
+        for (ServerIndex s = 4; s < 9; ++s) t->list.push_back({s, 0, 0, 0, {}, Standing::ready});
+        for (Listing& l : t->list) l.mark = 1000 + l.server;
+        t->start();
+    }
+    for (int i = 0; i < 5; ++i) other.settle(other.read_one(1000, 900 + static_cast<std::uint64_t>(i)));
+    std::vector<bool> used(9);
+    for (std::uint64_t session = 1; session <= 30; ++session) {
+        const QueryIndex a = one.arrive(1000, session), b = other.arrive(1000, session);
+        const ServerIndex home = one.last().server;
+        assert(home == other.last().server);
+        used[home] = true;
+        one.ended(a, Ending::read, home);
+        one.settle(a);
+        other.ended(b, Ending::read, home);
+        other.settle(b);
+    }
+    assert(std::count(used.begin(), used.end(), true) >= 4);
+}
+
+void cell_with_few_writers_keeps_only_what_they_can_take() {
+    Story t;
+    t.list = {{0, 0, 0, 0, {}, Standing::ready}, {1, 0, 0, 0, {}, Standing::ready},
+              {2, 0, 0, 0, {}, Standing::ready}, {3, 1, 0, 0, {}, Standing::ready},
+              {4, 0, 0, 1, {}, Standing::ready}, {5, 1, 0, 1, {}, Standing::ready},
+              {6, 1, 0, 1, {}, Standing::ready}, {7, 1, 0, 1, {}, Standing::ready}};
+    t.start();
+    int from_here = 0, stays = 0;
+    for (int i = 0; i < 200; ++i) {
+        const QueryIndex q = t.arrive();
+        const ServerIndex reader = t.last().server;
+        t.ended(q, Ending::read, reader);
+        from_here += reader < 3;
+        stays += reader < 3 && t.last().server == 3;
+        t.settle(q);
+    }
+    assert(stays * 4 > from_here && stays * 2 < from_here);  // a third: a quarter of writers, three of readers
+}
+
 void hold_is_before_the_read_while_no_writer_shows_room() {
     Story t;
     t.terms.reports_memory = true;
@@ -502,6 +543,8 @@
     each_stage_goes_by_its_own_reports();
     same_report_again_does_not_wipe_own_streams();
     kept_text_draws_a_session_back_within_one_prompt();
+    text_has_the_same_home_at_gateways_that_never_met_it();
+    cell_with_few_writers_keeps_only_what_they_can_take();
     hold_is_before_the_read_while_no_writer_shows_room();
     full_writers_hold_reads_for_a_second_and_a_lost_state_does_not();
     full_reader_is_passed_over_and_says_nothing_of_writers();
