--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -126,7 +126,8 @@
         stays += reader < 3 && t.last().server == 3;
         t.settle(q);
     }
-    assert(stays * 4 > from_here && stays * 2 < from_here);  // a third: a quarter of writers, three of readers
+    assert(stays * 4 > from_here &&
+           stays * 2 < from_here);  // a third: a quarter of writers, three of readers
 }
 
 void hold_is_before_the_read_while_no_writer_shows_room() {
