--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -30,11 +30,11 @@
 // Left open by the design: what counts as a tie. Gateways see only their own traffic, so two loads that
 // differ by less than these say nothing of which server is the less busy; the shorter way then counts for
 // more.
-constexpr double kReaderTie = 0.25;  // typical prompts
-constexpr double kHomesPart = 2.0;
-constexpr double kFewArrivals = 4.0;
-constexpr double kLeastPart = 1e-9;  // of what is to be taken only where nothing better is left
-constexpr double kWriterTie = 3.0;   // streams of the size in hand; wider ties lose under overload
+constexpr double kReaderTie = 0.25;   // typical prompts
+constexpr double kHomesPart = 2.0;    // homes of a beginning for each reader that its part keeps busy
+constexpr double kFewArrivals = 4.0;  // that a beginning's part of the traffic is shrunk by
+constexpr double kLeastPart = 1e-9;   // of what is to be taken only where nothing better is left
+constexpr double kWriterTie = 3.0;    // streams of the size in hand; wider ties lose under overload
 
 // Health. Evidence is weighed as odds: how often an ill server fails, how often one must be thought to fail
 // at the least, and what is far enough from its peers' pace. A doubt of a hundred to one shuts a server out;
@@ -64,7 +64,8 @@
 constexpr double kColdPart = 0.8;
 constexpr double kColdBurst = 0.35;
 
-// The part of the latency goal that the expected read and first token may fill; the rest is for their spread.
+// The part of the latency goal that the expected read may fill; the rest is for the first token and the
+// spread.
 constexpr double kFillGoal = 0.6;
 constexpr double kFillUnkept = 0.5;  // and of that for a prompt of which nothing is kept
 
@@ -308,16 +309,19 @@
 }
 
 // Against servers that run slow without failing, or slower and slower.
-void Rules::note_good(ServerIndex s, double pace) {
-    Learned& peers = paces_[role_[s] == Role::reader];
+// A mixed server is judged by its reads alone, as the two paces have nothing in common.
+void Rules::note_good(ServerIndex s, double pace, bool reading) {
+    const double odds = std::log((1 - kIllFails) / (1 - failing(s, 0.0)));
+    if (reading != reads(s)) return weigh(s, odds);
+    Learned& peers = paces_[reading];
     const double log_pace = std::log(std::max(pace, 1e-9));
     const double slow = peers.samples < kPaceSamples ? 0.0 : log_pace - peers.mean - kSlack;
-    if (role_[s] == Role::reader) peers_paced_at_ = host_.now();
+    if (reading) peers_paced_at_ = host_.now();
     learn(peers, log_pace, kLearnPool);
     paced_at_[s] = host_.now();
     ++paced_[s];
     pace_[s] += std::max(kLearn, 1.0 / paced_[s]) * (pace - pace_[s]);
-    weigh(s, std::log((1 - kIllFails) / (1 - failing(s, 0.0))) + std::clamp(slow, -kSlack, kMostSlow));
+    weigh(s, odds + std::clamp(slow, -kSlack, kMostSlow));
 }
 
 void Rules::weigh(ServerIndex s, double odds) {
@@ -431,15 +435,6 @@
     return false;
 }
 
-// Among what ties, the shorter way first and chance within it, so that gateways do not all take the same
-// server.
-void Rules::draw(ServerIndex s, double nearness, double& score, ServerIndex& best) {
-    const double mine = nearness + chance();
-    if (mine <= score) return;
-    score = mine;
-    best = s;
-}
-
 // Against texts that every gateway has read somewhere else: among the readers that tie, a text's home is
 // drawn by a lot that falls alike at all gateways, so that it is the likeliest to have read the text last. A
 // beginning that many sessions share has as many homes as its part of the traffic would keep busy, and the
@@ -462,7 +457,8 @@
 
 std::size_t Rules::home_place(const Query& q, double readers) const {
     if (q.facts.beginning == 0) return 0;
-    const auto& [level, at] = popularity_.find(q.facts.beginning)->second;
+    const auto it = popularity_.find(q.facts.beginning);
+    const double level = it == popularity_.end() ? 0.0 : it->second.first;
     const double homes = std::max(1.0, level / (arrivals_ + kFewArrivals) * readers * kHomesPart);
     return static_cast<std::size_t>(unit(mixed(q.facts.session)) * homes);
 }
@@ -478,7 +474,7 @@
             if (host_.now() - full_at_[s] < kFullFor || read_late(q, texts, s)) return false;
             return pass > 0 || std::find(q.avoid.begin(), q.avoid.end(), s) == q.avoid.end();
         };
-        double least = std::numeric_limits<double>::infinity();
+        double least = kInfinite;
         for (ServerIndex s = 0; s < servers_; ++s)
             if (fit(s) && (reads(s) || pass == 2)) least = std::min(least, reader_load(s));
         if (std::isinf(least)) continue;
@@ -541,12 +537,12 @@
             if (pass > 0) return true;
             return std::find(q.avoid.begin(), q.avoid.end(), s) == q.avoid.end() && shows_room(s);
         };
-        double most = -std::numeric_limits<double>::infinity();
+        double most = -kInfinite;
         for (ServerIndex s = 0; s < servers_; ++s)
             if (fit(s)) most = std::max(most, writer_room(s));
         if (std::isinf(most)) continue;
         const double tie = kWriterTie * stream_estimate(q);
-        double first = std::numeric_limits<double>::infinity();
+        double first = kInfinite;
         for (ServerIndex s = 0; s < servers_; ++s) {
             if (!fit(s) || writer_room(s) < most - tie) continue;
             const double arrival = -std::log(1 - chance()) / writer_part(s, q.state_at);
@@ -650,6 +646,7 @@
     refill_cold();
     arrivals_ += 1;
     if (facts.beginning != 0) {
+        if (popularity_.size() >= kTextsKept) popularity_.clear();
         auto& [level, at] = popularity_[facts.beginning];
         level = level * std::exp(-seconds(q.came - at) / kRateWindowS) + 1;
         at = q.came;
@@ -707,14 +704,13 @@
         for (std::size_t n = line->size(); n > 0; --n) {
             const auto [i, serial] = line->front();
             line->pop_front();
-            if (queries_[i].serial != serial || queries_[i].stage != stage) continue;
-            if (start(i)) continue;
-            if (now + usual > of_use_until(queries_[i]) && now > queries_[i].came) {
+            Query& q = queries_[i];
+            if (q.serial != serial || q.stage != stage || start(i)) continue;
+            if (now + usual > of_use_until(q) && now > q.came) {
                 end(i, terms_.max_stay_away);
                 continue;
             }
             // Against a state that a read left behind after its answer was lost.
-            Query& q = queries_[i];
             if (q.launches > 0 && now - q.parked_since >= terms_.release_within * 0.4) {
                 host_.release(i);
                 q.parked_since = now;
@@ -836,7 +832,7 @@
     q.has_state = false;
     writes_done_ += 1;
     learn(first_time_, took.ms());
-    note_good(s, took.ms());
+    note_good(s, took.ms(), false);
     strain_ += 0.05 * ((host_.now() - q.came) / (q.goal - q.came) - strain_);
 }
 
@@ -866,7 +862,7 @@
         reads_done_ += 1;
         learn(read_time_, outcome.took.ms());
         const double read = ahead + q.facts.prompt_tokens - outcome.kept_tokens;
-        note_good(s, outcome.took.ms() / (read + kLeastRead * prompt_.mean));
+        note_good(s, outcome.took.ms() / (read + kLeastRead * prompt_.mean), true);
         learn(kept_share_, outcome.kept_tokens / std::max(1.0, q.facts.prompt_tokens));
         remember_read(q, s);
     }
--- a/src/rules.h
+++ b/src/rules.h
@@ -134,7 +134,6 @@
     double told(ServerIndex s, const std::vector<double>& figure, const Learned& average) const;
     double reader_load(ServerIndex s) const;
     double writer_room(ServerIndex s) const;
-    void draw(ServerIndex s, double nearness, double& score, ServerIndex& best);
     bool pick_reader(const Query& q, ServerIndex& best);
     bool pick_writer(const Query& q, ServerIndex& best);
 
@@ -147,7 +146,7 @@
     void grow(ServerIndex s);
     void forget(ServerIndex s);
     void refill_cold();
-    void note_good(ServerIndex s, double pace);
+    void note_good(ServerIndex s, double pace, bool reading);
     void note_bad(ServerIndex s);
     double failing(ServerIndex s, double sample);
     void weigh(ServerIndex s, double odds);
