Look at each server once for a choice: candidates gathered once, one draw for all parts

The readers' choice weighed each server's fitness up to three times, the writers' twice; parts of zones were summed in a loop of their own, and the same draw stood in three places. A comment on what is of use until the hard stop says what the code does.

--- a/src/rules.cpp
+++ b/src/rules.cpp
@@ -64,8 +64,7 @@
 constexpr double kColdPart = 0.8;
 constexpr double kColdBurst = 0.35;
 
-// The part of the latency goal that the expected read may fill; the rest is for the first token and the
-// spread.
+// The part of the latency goal that the expected read may fill; the rest is for the first token and chance.
 constexpr double kFillGoal = 0.6;
 constexpr double kFillUnkept = 0.5;  // and of that for a prompt of which nothing is kept
 
@@ -99,6 +98,9 @@
 
 double unit(std::uint64_t bits) { return static_cast<double>(bits >> 11) / 9007199254740992.0; }
 
+// The least of such arrivals falls on each in proportion to its part.
+double arrival_at(double drawn, double part) { return -std::log(1 - drawn) / part; }
+
 double seconds(Span s) { return static_cast<double>(s.us) / 1e6; }
 
 template <class Map>
@@ -215,11 +217,11 @@
     for (Mix& cell : cells_) {
         cell.readers /= std::max(1.0, readers);
         cell.writers /= std::max(1.0, writers);
+        zones_[cell.zone].readers += cell.readers;
         zones_[cell.zone].over += std::max(0.0, cell.readers - cell.writers);
         zones_[cell.zone].spare += std::max(0.0, cell.writers - cell.readers);
     }
     peers_ = {writers, readers};
-    for (const Mix& cell : cells_) zones_[cell.zone].readers += cell.readers;
     far_spare_ = spare_readers_ = 0;
     for (const Mix& zone : zones_) {
         far_spare_ += std::max(0.0, zone.spare - zone.over);
@@ -403,8 +405,7 @@
 }
 
 // Servers not heard of count as the average of those heard of. A report fades into that average as the
-// streams that it counted end, or gateways that hear of a server once in a while would all trust what is long
-// gone.
+// streams that it counted end, or gateways that hear of a server seldom would all trust what is long gone.
 double Rules::told(ServerIndex s, const std::vector<double>& figure, const Learned& average) const {
     if (figure[s] < 0) return average.mean;
     const double streams =
@@ -435,7 +436,7 @@
     return false;
 }
 
-// Against texts that every gateway has read somewhere else: among the readers that tie, a text's home is
+// Against texts that every gateway has read somewhere else: among the readers that are fit, a text's home is
 // drawn by a lot that falls alike at all gateways, so that it is the likeliest to have read the text last. A
 // beginning that many sessions share has as many homes as its part of the traffic would keep busy, and the
 // session tells which of them. The lot is drawn by the part of a reader's work that is this zone's
@@ -443,7 +444,7 @@
 double Rules::lot(const Query& q, ServerIndex s) {
     const std::uint64_t text = q.facts.beginning != 0 ? q.facts.beginning : q.facts.session;
     const double drawn = text != 0 ? unit(mixed(text ^ mixed(mark_[s]))) : chance();
-    return -std::log(1 - drawn) / reader_part(s);
+    return arrival_at(drawn, reader_part(s));
 }
 
 double Rules::reader_part(ServerIndex s) const {
@@ -474,24 +475,24 @@
             if (host_.now() - full_at_[s] < kFullFor || read_late(q, texts, s)) return false;
             return pass > 0 || std::find(q.avoid.begin(), q.avoid.end(), s) == q.avoid.end();
         };
-        double least = kInfinite;
-        for (ServerIndex s = 0; s < servers_; ++s)
-            if (fit(s) && (reads(s) || pass == 2)) least = std::min(least, reader_load(s));
-        if (std::isinf(least)) continue;
+        double least = kInfinite, readers = 0;
+        candidates_.clear();
+        for (ServerIndex s = 0; s < servers_; ++s) {
+            if (!fit(s) || (!reads(s) && pass < 2)) continue;
+            candidates_.push_back(s);
+            least = std::min(least, reader_load(s));
+            readers += reader_part(s);
+        }
+        if (candidates_.empty()) continue;
         const double typical = prompt_.mean;
         if (const KeptText* t = texts.session; t && t->life == life_[t->reader] && fit(t->reader)) {
             best = t->reader;
             if (reader_load(best) <= least + kKeptMargin * typical) return true;
         }
-        double readers = 0;
         const auto gather = [&](double margin) {
             lots_.clear();
-            for (ServerIndex s = 0; s < servers_; ++s) {
-                if (!fit(s) || (!reads(s) && pass < 2)) continue;
-                if (reader_load(s) > least + margin * typical) continue;
-                lots_.emplace_back(lot(q, s), s);
-                readers += reader_part(s);
-            }
+            for (const ServerIndex s : candidates_)
+                if (reader_load(s) <= least + margin * typical) lots_.emplace_back(lot(q, s), s);
         };
         if (q.facts.beginning != 0 || q.facts.session != 0) {
             gather(kInfinite);
@@ -510,8 +511,7 @@
 
 // Against cells whose writers drown because all gateways favour the reader's cell at once: ties favour it
 // only as far as its writers' part of all writers matches its readers' part of all readers. What is over goes
-// to cells with writers to spare, of the same zone first. If every gateway draws so, each writer gets its
-// part.
+// to cells with writers to spare, of the same zone first. If all draw so, each writer gets its part.
 double Rules::writer_part(ServerIndex s, ServerIndex reader) const {
     const Mix& here = cells_[cell_[reader]];
     const Mix& there = cells_[cell_[s]];
@@ -538,14 +538,18 @@
             return std::find(q.avoid.begin(), q.avoid.end(), s) == q.avoid.end() && shows_room(s);
         };
         double most = -kInfinite;
-        for (ServerIndex s = 0; s < servers_; ++s)
-            if (fit(s)) most = std::max(most, writer_room(s));
-        if (std::isinf(most)) continue;
+        candidates_.clear();
+        for (ServerIndex s = 0; s < servers_; ++s) {
+            if (!fit(s)) continue;
+            candidates_.push_back(s);
+            most = std::max(most, writer_room(s));
+        }
+        if (candidates_.empty()) continue;
         const double tie = kWriterTie * stream_estimate(q);
         double first = kInfinite;
-        for (ServerIndex s = 0; s < servers_; ++s) {
-            if (!fit(s) || writer_room(s) < most - tie) continue;
-            const double arrival = -std::log(1 - chance()) / writer_part(s, q.state_at);
+        for (const ServerIndex s : candidates_) {
+            if (writer_room(s) < most - tie) continue;
+            const double arrival = arrival_at(chance(), writer_part(s, q.state_at));
             if (arrival >= first) continue;
             first = arrival;
             best = s;
@@ -556,8 +560,7 @@
 }
 
 // What a read sent now would take, by what reads took of late for each token that this gateway had queued:
-// here, as far as that is fresh, else at the role as a whole. Both fade, so that a jam that is over is found
-// out.
+// here, as far as that is fresh, else at the role as a whole. Both fade, or a jam that is over would last.
 double Rules::pace_now(ServerIndex s, Span goal) const {
     const auto fresh = [&](Instant at) { return std::exp((at - host_.now()) / goal / kFresh); };
     const double usual = paces_[1].samples > 0 ? std::exp(paces_[1].mean) * fresh(peers_paced_at_) : 0;
@@ -688,8 +691,8 @@
     return true;
 }
 
-// Against queries that wait only to be answered too late: the client may do better elsewhere. One that has
-// been launched has cost its work, most of which is kept where it lies; declined, it would come again as a
+// Against queries that wait only to be answered too late: the client may do better elsewhere. One whose
+// answer was lost has cost its work, most of which is kept where it lies; declined, it would come again as a
 // new one.
 Instant Rules::of_use_until(const Query& q) const {
     return q.answer_lost ? q.hard_stop : std::min(q.goal, q.hard_stop);
@@ -1003,7 +1006,7 @@
             if (!ready(s) || !of_use || told_at_[s] >= host_.now()) continue;
             const double part = writes(s) && q.out ? writer_part(s, q.server) : 1.0;
             const double age = std::min(kRateWindowS, seconds(host_.now() - told_at_[s]));
-            const double arrival = -std::log(1 - chance()) / (part * age);
+            const double arrival = arrival_at(chance(), part * age);
             if (arrival >= first) continue;
             first = arrival;
             chosen = s;
--- a/src/rules.h
+++ b/src/rules.h
@@ -190,6 +190,7 @@
     std::vector<std::uint16_t> zone_;
     std::vector<std::uint32_t> cell_, life_;
     std::vector<std::uint64_t> mark_;
+    std::vector<ServerIndex> candidates_;  // of the choice in hand
     std::vector<std::pair<double, ServerIndex>> lots_;
     std::unordered_map<std::uint64_t, std::pair<double, Instant>> popularity_;
     std::vector<Mix> cells_, zones_;
