Limit on connecting, learned parts of a fleet's limits, fuzzers of what is read

Missing from the limits by route: a launch could wait for a dear connection until its whole limit had passed; a gateway with most of the load met its even part of a limit long before the fleet did; the readers of terms and messages were never fuzzed with coverage; no test turned a category effectful while second copies ran.

A launch that is still unsent after its route's connect limit is taken back and goes elsewhere, whatever its category.

--- /dev/null
+++ b/bench/limit_study.cpp
@@ -0,0 +1,154 @@
+// Two questions of docs/limits.md put to simulated fleets, each against the other answers in the same run: an
+// adaptive limit or a fixed one, and even parts of a fleet's limit or parts corrected by a gateway's own
+// share. Prints Markdown tables.
+#include <cstdio>
+
+#include "limits/fleet_share.h"
+#include "slot_fleet.h"
+
+using namespace copperfront;
+
+namespace {
+
+// ---- adaptive against fixed
+
+void adaptive_or_fixed() {
+    std::printf(
+        "| load | limit | settled a second | of them with a first token within 250 ms | mean | p99 |\n"
+        "| --- | --- | --- | --- | --- | --- |\n");
+    struct Way {
+        const char* name;
+        double fixed;
+        bool adapts;
+    };
+    for (const double load : {0.5, 0.9, 1.2, 2.0, 3.0})
+        for (const Way& way : {Way{"none", kNoLimit, false},
+                               {"fixed at 20", 20, false},
+                               {"fixed at 40", 40, false},
+                               {"fixed at 80", 80, false},
+                               {"fixed at 160", 160, false},
+                               {"adapts", kNoLimit, true}}) {
+            RouteLimits l;
+            l.in_hand = way.fixed;
+            l.adapts = way.adapts;
+            slot_fleet::Load asked;
+            asked.of_capacity = load;
+            asked.patience = {2000000};
+            const auto seen = slot_fleet::play(l, asked);
+            std::printf("| %.1f | %s | %.0f | %.0f | %.0f ms | %.0f ms |\n", load, way.name, seen.settled,
+                        seen.good, seen.first_ms, seen.p99);
+        }
+}
+
+// ---- parts of a fleet's limit
+
+struct Fleet {
+    int gateways;
+    double load;        // wanted by all, of the stated limit
+    double hot;         // part of it that comes to one gateway
+    bool hot_moves;     // to another gateway, half-way
+    double overstated;  // what reports say, of the truth
+    double others;      // load of other routes, spread evenly, of the stated limit
+};
+
+struct Parted {
+    double settled = 0;  // of what could have been
+    double most = 0;     // passed in the worst second after the first five, of the stated limit
+};
+
+Parted parted(const Fleet& f, bool corrected) {
+    constexpr double kStated = 400;
+    constexpr int kEngines = 20, kSeconds = 60;
+    const auto n = static_cast<std::size_t>(f.gateways);
+    std::minstd_rand chance(11);
+    std::uniform_real_distribution<double> uniform(0, 1);
+    const auto poisson = [&](double mean) { return std::poisson_distribution<int>(mean)(chance); };
+    RouteLimits l;
+    l.rate = kStated;
+    std::vector<Admission> gateways;
+    std::vector<FleetShare> shares(n, FleetShare(f.gateways));
+    for (std::size_t g = 0; g < n; ++g) {
+        gateways.emplace_back(f.gateways, slot_fleet::kBegin);
+        gateways[g].change({{l}}, f.gateways, slot_fleet::kBegin);
+    }
+    std::vector<std::vector<double>> in_hand(n, std::vector<double>(kEngines));
+    std::deque<std::tuple<int, std::size_t, std::size_t>> ends;  // tick, gateway, engine
+    double passed = 0, could = 0, this_second = 0;
+    Parted out;
+    for (int tick = 0; tick < kSeconds * 100; ++tick) {
+        const Instant now = slot_fleet::kBegin + Span{tick * 10000};
+        while (!ends.empty() && std::get<0>(ends.front()) <= tick) {
+            in_hand[std::get<1>(ends.front())][std::get<2>(ends.front())] -= 1;
+            ends.pop_front();
+        }
+        const std::size_t hot_one = f.hot_moves && tick >= kSeconds * 50 ? 1 : 0;
+        double wanted = 0;
+        for (std::size_t g = 0; g < n; ++g) {
+            const double part = g == hot_one ? f.hot : (1 - f.hot) / (f.gateways - 1);
+            const int came = poisson(part * f.load * kStated / 100);
+            const int other = poisson(f.others * kStated / 100 / f.gateways);
+            wanted += came;
+            for (int q = 0; q < came + other; ++q) {
+                if (q < came) {
+                    if (gateways[g].query_came(0, 1, false, now).why != Refusal::none) continue;
+                    gateways[g].query_over(0, 1, true, now);
+                    this_second += 1;
+                    if (tick >= 500) passed += 1;
+                }
+                const std::size_t e = chance() % kEngines;
+                in_hand[g][e] += 1;
+                ends.emplace_back(tick + 100, g, e);  // each a second long
+            }
+        }
+        if (tick >= 500) could += wanted;
+        if (tick % 100 == 99) {
+            if (tick >= 600) out.most = std::max(out.most, this_second / kStated);
+            this_second = 0;
+        }
+        if (!corrected || tick % 10 != 0) continue;
+        // One engine reports to each gateway, a tenth off either way.
+        for (std::size_t g = 0; g < n; ++g) {
+            const std::size_t e = chance() % kEngines;
+            double all = 0;
+            for (std::size_t o = 0; o < n; ++o) all += in_hand[o][e];
+            shares[g].report(in_hand[g][e], all * f.overstated * (0.9 + 0.2 * uniform(chance)), now);
+            gateways[g].part_is(shares[g].value(now));
+        }
+    }
+    out.settled = passed / std::min(could, kStated * (kSeconds - 5));
+    return out;
+}
+
+void even_or_corrected() {
+    std::printf(
+        "\n| gateways | load of the limit | at one gateway | besides | even: settled | worst second | "
+        "corrected: settled | worst second |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n");
+    struct Row {
+        Fleet fleet;
+        const char* besides;
+    };
+    for (const Row& row : {Row{{4, 0.8, 0.25, false, 1, 0}, ""},
+                           {{4, 0.8, 0.5, false, 1, 0}, ""},
+                           {{20, 0.8, 0.05, false, 1, 0}, ""},
+                           {{20, 0.8, 0.3, false, 1, 0}, ""},
+                           {{4, 2.0, 0.5, false, 1, 0}, ""},
+                           {{20, 2.0, 0.3, false, 1, 0}, ""},
+                           {{4, 0.8, 0.5, true, 1, 0}, "moves half-way"},
+                           {{20, 0.8, 0.3, true, 1, 0}, "moves half-way"},
+                           {{4, 0.8, 0.5, false, 1, 2}, "twice as much of other routes, even"},
+                           {{20, 0.8, 0.3, false, 1, 2}, "twice as much of other routes, even"},
+                           {{4, 0.8, 0.5, false, 1.3, 0}, "reports say 1.3 of the truth"},
+                           {{4, 2.0, 0.5, false, 0.7, 0}, "reports say 0.7 of the truth"}}) {
+        const Parted even = parted(row.fleet, false), corrected = parted(row.fleet, true);
+        std::printf("| %d | %.1f | %.0f%% | %s | %.3f | %.2f | %.3f | %.2f |\n", row.fleet.gateways,
+                    row.fleet.load, row.fleet.hot * 100, row.besides, even.settled, even.most,
+                    corrected.settled, corrected.most);
+    }
+}
+
+}  // namespace
+
+int main() {
+    adaptive_or_fixed();
+    even_or_corrected();
+}
--- a/program.cmake
+++ b/program.cmake
@@ -24,3 +24,4 @@
   add_subdirectory(src/${package})
 endforeach()
 add_subdirectory(bench)
+add_subdirectory(fuzz)
--- a/src/audit/audit.cpp
+++ b/src/audit/audit.cpp
@@ -89,10 +89,19 @@
     std::vector<const Launched*> launches_of(const Asked& a) const {
         std::vector<const Launched*> out;
         if (a.mark.empty()) return out;
+        // Against taking a caller's repeat for the try before it, which was declined a moment ago: whatever
+        // the gateway began after the repeat was asked is the repeat's.
+        Stamp repeated = kNever;
+        const auto [same, others] = asked_by_mark_.equal_range(a.mark);
+        for (auto it = same; it != others; ++it)
+            if (it->second->gateway == a.gateway && it->second->where.at > a.where.at &&
+                (repeated == kNever || it->second->where.at < repeated))
+                repeated = it->second->where.at;
         const auto [from, to] = by_mark_.equal_range(a.mark);
         for (auto it = from; it != to; ++it) {
             const Launched& l = *it->second;
             if (gateway_name(l.gateway) == a.gateway && l.where.at >= a.where.at &&
+                (repeated == kNever || began_.at(l.query) < repeated) &&
                 (a.final == kNever || l.where.at <= a.final + kNear))
                 out.push_back(&l);
         }
@@ -101,8 +110,13 @@
 
     // ---- rule 1
     void answers() {
-        for (const Launched& l : h_.launched)
+        for (const Launched& l : h_.launched) {
             if (!l.mark.empty()) by_mark_.emplace(l.mark, &l);
+            const auto [it, fresh] = began_.try_emplace(l.query, l.where.at);
+            if (!fresh) it->second = std::min(it->second, l.where.at);
+        }
+        for (const Asked& a : h_.asked)
+            if (!a.mark.empty()) asked_by_mark_.emplace(a.mark, &a);
         std::map<std::string, CategoryReport> reports;
         std::map<std::string, std::vector<double>> firsts, paces;
         std::map<std::string, std::pair<double, double>> launches;
@@ -394,6 +408,8 @@
     Report r_;
     std::map<std::string, std::vector<const Launched*>> by_query_;
     std::multimap<std::string, const Launched*> by_mark_;
+    std::multimap<std::string, const Asked*> asked_by_mark_;
+    std::map<std::string, Stamp> began_;  // by query: its first launch
     std::map<std::string, std::vector<const Run*>> runs_of_;
 };
 
--- a/src/desk/desk.cpp
+++ b/src/desk/desk.cpp
@@ -30,6 +30,7 @@
       max_launches_(terms.max_launches),
       outside_(outside),
       admission_(terms.gateways, outside.now()),
+      share_(terms.gateways),
       rules_(terms, *this, seed) {
     admission_.change({{RouteLimits{}}}, terms.gateways, outside.now());
 }
@@ -43,10 +44,27 @@
     kinds_ = terms.kinds;
     categories_ = terms.categories;
     max_launches_ = terms.max_launches;
+    share_.change(terms.gateways);
     admission_.change(routes, terms.gateways, outside_.now());
     rules_.terms_changed(terms);
 }
 
+// ---- this gateway's part of the fleet's limits
+
+void Desk::parts_are_learned(bool learned) {
+    parts_learned_ = learned;
+    if (!learned) admission_.part_is(0);
+}
+
+double Desk::part() const { return share_.value(outside_.now()); }
+
+void Desk::note_report(ServerIndex server, const LoadReport& report) {
+    if (!parts_learned_ || report.memory_share < 0 || server >= memory_.size() || memory_[server] <= 0)
+        return;
+    share_.report(own_tokens_[server], report.memory_share * memory_[server], outside_.now());
+    admission_.part_is(part());
+}
+
 // ---- queries
 
 QueryIndex Desk::open() {
@@ -86,6 +104,7 @@
     ticket.came = outside_.now();
     ticket.streams = category.stream;
     ticket.silence = longest_silence(category, facts.budget);
+    ticket.connect = limits.connect;
     if (limits.gap.us > 0) ticket.silence = std::min(ticket.silence, limits.gap);
     for (int cause = 0; cause < kCauses; ++cause) ticket.most_after[cause] = limits.most_after[cause];
     facts.read_within = limits.read;
@@ -191,6 +210,7 @@
     second.streams = true;
     second.silence = first.silence;
     second.whole = first.whole;
+    second.connect = first.connect;
     // Its launches are none of the first ones that budgets are a share of.
     second.read_begun = second.write_begun = true;
     for (int cause = 0; cause < kCauses; ++cause) second.most_after[cause] = first.most_after[cause];
@@ -280,7 +300,11 @@
     const bool barred = ticket.ended || ticket.done || tickets_[asked].ended || tickets_[asked].bound != 0 ||
                         ticket.made > max_launches_;
     if (!barred && limit.us > 0) {
-        if (!made.reading) made.state = ticket.state;
+        if (!made.reading) {
+            made.state = ticket.state;
+            made.tokens = ticket.prompt_tokens;
+            if (server < own_tokens_.size()) own_tokens_[server] += made.tokens;
+        }
         if (ticket.held) admission_.held(ticket.route, -1);
         ticket.held = false;
         // The first launch of each stage; what follows was asked for in may_launch_again.
@@ -289,6 +313,7 @@
         begun = true;
         launches_.emplace(id, made);
         set_alarm(limit, Ring::limit, id);
+        if (ticket.connect.us > 0 && ticket.connect < limit) set_alarm(ticket.connect, Ring::connect, id);
         if (made.reading) {
             ++tally_.reads;
             outside_.send_read(id, server, asked, limit);
@@ -360,6 +385,10 @@
     Launch& l = it->second;
     Ticket& ticket = tickets_[l.query];
     query = face(l.query);
+    if (l.server < own_tokens_.size()) {
+        l.tokens += 1;
+        own_tokens_[l.server] += 1;
+    }
     if (l.begun) {
         l.heard = outside_.now();
         admission_.tokens_came(ticket.route, 1, l.heard);
@@ -395,6 +424,9 @@
     if (it == launches_.end()) return;
     const Launch l = it->second;
     launches_.erase(it);
+    if (l.server < own_tokens_.size())
+        own_tokens_[l.server] = std::max(0.0, own_tokens_[l.server] - l.tokens);
+    note_report(l.server, outcome.report);
     Ticket& ticket = tickets_[l.query];
     --ticket.out;
     ++tally_.endings[static_cast<std::size_t>(outcome.ending)];
@@ -440,8 +472,14 @@
 void Desk::list_arrived(std::span<const Listing> entries, bool whole) {
     const Turn turn(*this);
     for (const Listing& entry : entries) {
-        if (entry.server >= role_.size()) role_.resize(entry.server + 1, Role::mixed);
+        if (entry.server >= role_.size()) {
+            role_.resize(entry.server + 1, Role::mixed);
+            memory_.resize(entry.server + 1, 0);
+            own_tokens_.resize(entry.server + 1, 0);
+        }
         role_[entry.server] = kinds_[entry.kind].role;
+        // What a reader holds are texts and states on their way, not this gateway's to tell.
+        memory_[entry.server] = role_[entry.server] == Role::reader ? 0 : kinds_[entry.kind].memory_tokens;
     }
     rules_.list_arrived(entries, whole);
 }
@@ -458,6 +496,7 @@
 
 void Desk::probe_answered(ServerIndex server, bool answered, const LoadReport& report) {
     const Turn turn(*this);
+    if (answered) note_report(server, report);
     rules_.probe_answered(server, answered, report);
 }
 
@@ -522,6 +561,15 @@
             finish(alarm.key, outcome);
             continue;
         }
+        if (alarm.ring == Ring::connect) {
+            // Never sent, so it cannot have run: any category may go again, and at once.
+            if (it->second.begun || !outside_.unsend(it->first, it->second.server)) continue;
+            ++tally_.not_connected;
+            Outcome outcome;
+            outcome.ending = Ending::unreachable;
+            finish(alarm.key, outcome);
+            continue;
+        }
         if (it->second.begun) continue;
         outside_.call_off(it->first, it->second.server);
         Outcome outcome;
--- a/src/desk/desk.h
+++ b/src/desk/desk.h
@@ -15,6 +15,7 @@
 
 #include "core/rules.h"
 #include "limits/admission.h"
+#include "limits/fleet_share.h"
 
 namespace copperfront {
 
@@ -33,6 +34,9 @@
     virtual void send_write(LaunchId launch, ServerIndex to, QueryIndex query, LaunchId state,
                             ServerIndex from, Span limit) = 0;
     virtual void call_off(LaunchId launch, ServerIndex at) = 0;
+    // Takes back a launch that waits for its connection: true, and it was never sent; false: it may have
+    // been.
+    virtual bool unsend(LaunchId launch, ServerIndex at) = 0;
     virtual void release(ServerIndex at, LaunchId state) = 0;
     virtual void probe(ServerIndex server) = 0;
     virtual void subscribe() = 0;
@@ -50,8 +54,8 @@
     std::uint64_t came = 0, left = 0, settled = 0, declined = 0, given_up = 0, streams_broken = 0,
                   streams_silent = 0;
     std::uint64_t reads = 0, writes = 0, called_off = 0, releases = 0, probes = 0;
-    std::uint64_t over_limit = 0, not_again = 0, copies = 0,
-                  copies_won = 0;   // declined by a route's limits; launches they did not leave
+    // Declined by a route's limits; launches that they did not leave; launches taken back unsent.
+    std::uint64_t over_limit = 0, not_again = 0, not_connected = 0, copies = 0, copies_won = 0;
     std::uint64_t endings[9] = {};  // by Ending
 };
 
@@ -73,6 +77,11 @@
     // The routes alone, as at the start.
     void limits_changed(std::span<const RouteLimits> routes, int gateways);
 
+    // Whether parts of what is stated for the fleet are learned from load reports, or even.
+    void parts_are_learned(bool learned);
+    // This gateway's part now.
+    double part() const;
+
     void list_arrived(std::span<const Listing> entries, bool whole);
     void list_missed();
 
@@ -111,7 +120,7 @@
         Arrival facts;  // kept where a copy may be made
         RouteIndex route = 0;
         double prompt_tokens = 0;
-        Span gap, whole, copy_after;
+        Span whole, copy_after, connect;
         Instant came;
         std::uint32_t after[kCauses] = {}, most_after[kCauses] = {};
         std::uint32_t made = 0, out = 0;
@@ -126,9 +135,10 @@
         ServerIndex server = 0;
         Instant sent, heard;
         LaunchId state = 0;  // write: the state it takes
+        double tokens = 0;   // write: of memory that it holds there
         bool reading = false, begun = false, called_off = false;
     };
-    enum class Ring { rules, limit, stream, whole, copy };
+    enum class Ring { rules, limit, connect, stream, whole, copy };
     struct Alarm {
         Instant at;
         std::uint64_t order = 0;
@@ -152,6 +162,7 @@
     void set_timer(Span from_now, TimerKey key) override { set_alarm(from_now, Ring::rules, key); }
     void log(std::string_view line) override { outside_.log(line); }
 
+    void note_report(ServerIndex server, const LoadReport& report);
     void set_alarm(Span from_now, Ring ring, std::uint64_t key);
     void finish(LaunchId launch, Outcome outcome);
     void drop_states(Ticket& ticket, LaunchId except);
@@ -169,7 +180,8 @@
     std::vector<Category> categories_;
     std::uint32_t max_launches_;
     Outside& outside_;
-    std::vector<Role> role_;  // by server
+    std::vector<Role> role_;                   // by server
+    std::vector<double> memory_, own_tokens_;  // by server: what it has, and what our writes hold of it
     std::vector<Ticket> tickets_;
     std::vector<QueryIndex> free_, ended_;
     std::unordered_map<LaunchId, Launch> launches_;
@@ -182,6 +194,8 @@
     std::size_t open_ = 0;
     Tally tally_;
     Admission admission_;
+    bool parts_learned_ = false;
+    FleetShare share_;
     Rules rules_;
 };
 
--- a/src/gateway/engines.cpp
+++ b/src/gateway/engines.cpp
@@ -280,6 +280,14 @@
         line.say(rpc::cancelled_line(rpc::Id{static_cast<std::int64_t>(launch)}, "called off"));
 }
 
+bool Engines::unsend(LaunchId launch) {
+    const auto it = out_.find(launch);
+    if (it == out_.end() || !it->second.line->unsend(launch)) return false;
+    it->second.line->forget(launch);
+    out_.erase(it);
+    return true;
+}
+
 void Engines::release(ServerIndex server, const std::string& state) {
     Door& door = *doors_.at(server);
     for (const auto& line : door.lines) {
--- a/src/gateway/engines.h
+++ b/src/gateway/engines.h
@@ -39,6 +39,8 @@
     // The owner is told of the launch's end, never from within these calls.
     void send(ServerIndex server, LaunchId launch, std::string line, bool reading);
     void call_off(ServerIndex server, LaunchId launch);
+    // True, and the owner is not told of its end: the launch still waited for its link and was never sent.
+    bool unsend(LaunchId launch);
     void release(ServerIndex server, const std::string& state);
     void probe(ServerIndex server);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -48,6 +48,7 @@
     const Terms core = adopt(terms_);
     desk_ = make_desk ? make_desk(core, outside, seed) : std::make_unique<Desk>(core, outside, seed);
     desk_->limits_changed(route_limits(), core.gateways);
+    desk_->parts_are_learned(terms_.learned_parts);
     roster_->start();
     for (std::uint32_t n = 0; n < terms_.listener_addresses.size(); ++n) {
         listeners_.push_back(std::make_unique<Listener>(loop, Address::parse(terms_.listener_addresses[n]),
@@ -142,6 +143,7 @@
     engines_->change(terms_.bounds);
     log_.set_level(terms_.logging.level);
     desk_->terms_changed(core, route_limits());
+    desk_->parts_are_learned(terms_.learned_parts);
     return true;
 }
 
@@ -212,6 +214,7 @@
     return {{"gateway", terms_.name},
             {"life", life_},
             {"generation", generation_},
+            {"partOfFleet", terms_.learned_parts ? desk_->part() : 1.0 / terms_.core.gateways},
             {"termsForS", static_cast<double>((loop_.now() - changed_).us) / 1e6},
             {"refused", refused_},
             {"stopping", stopping_},
@@ -226,6 +229,7 @@
             {"left", t.left},
             {"overLimit", t.over_limit},
             {"notAgain", t.not_again},
+            {"notConnected", t.not_connected},
             {"routes", routes}};
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -64,6 +64,7 @@
     void send_write(LaunchId launch, ServerIndex to, QueryIndex query, LaunchId state, ServerIndex from,
                     Span limit) override;
     void call_off(LaunchId launch, ServerIndex at) override;
+    bool unsend(LaunchId launch, ServerIndex) override { return engines_->unsend(launch); }
     void release(ServerIndex at, LaunchId state) override;
     void probe(ServerIndex server) override;
     void subscribe() override;
--- a/src/limits/admission.cpp
+++ b/src/limits/admission.cpp
@@ -11,7 +11,8 @@
 constexpr double kAnswerBurstS = 2;
 constexpr double kQueryBurstS = 1;             // where no burst is stated
 constexpr std::uint64_t kFewFirstTokens = 50;  // learned from no fewer
-constexpr Span kSoon{100000};                  // to come back when something in hand has ended
+constexpr double kTuneFrom = 0.02;
+constexpr Span kSoon{100000};  // to come back when something in hand has ended
 
 double seconds(Span s) { return static_cast<double>(s.us) / 1e6; }
 
@@ -67,7 +68,7 @@
 // together let through is at most the limit, or one for each gateway where there are more gateways than that.
 double Admission::part(double of_fleet) const {
     if (of_fleet >= kNoLimit || of_fleet <= 0) return of_fleet;
-    return std::max(1.0, of_fleet / gateways_);
+    return std::max(1.0, of_fleet * share());
 }
 
 void Admission::change(std::span<const RouteLimits> routes, int gateways, Instant now) {
@@ -83,13 +84,7 @@
         }
         r.limits = routes[i];
         const RouteLimits& l = r.limits;
-        // Rates are divided to the last bit; a part of less than one a second is no reason to let one a
-        // second in.
-        const double rate = l.rate >= kNoLimit ? l.rate : l.rate / gateways_;
-        const double burst = l.burst > 0 ? part(l.burst) : std::max(1.0, rate * kQueryBurstS);
-        r.queries.change(rate, burst, now, fresh);
-        const double answers = l.answer_rate >= kNoLimit ? l.answer_rate : l.answer_rate / gateways_;
-        r.answers.change(answers, answers >= kNoLimit ? 0 : answers * kAnswerBurstS, now, fresh);
+        tune(r, now, fresh);
         if (!r.copies)
             r.copies = std::make_unique<RetryBudget>(l.second_share, 0, l.retry_window, now);
         else
@@ -102,10 +97,24 @@
     }
 }
 
+// Rates are divided to the last bit; a part of less than one a second is no reason to let one a second in.
+void Admission::tune(Route& r, Instant now, bool fresh) {
+    const RouteLimits& l = r.limits;
+    r.tuned = share();
+    const double rate = l.rate >= kNoLimit ? l.rate : l.rate * r.tuned;
+    const double burst = l.burst > 0 ? part(l.burst) : std::max(1.0, rate * kQueryBurstS);
+    r.queries.change(rate, burst, now, fresh);
+    const double answers = l.answer_rate >= kNoLimit ? l.answer_rate : l.answer_rate * r.tuned;
+    r.answers.change(answers, answers >= kNoLimit ? 0 : answers * kAnswerBurstS, now, fresh);
+}
+
 Verdict Admission::query_came(RouteIndex route, double prompt_tokens, bool again, Instant now) {
     Route& r = routes_.at(route);
     const RouteLimits& l = r.limits;
     RouteCounts& c = r.counts;
+    // A learned part moves a little with every report; what it moves by less than this is left to the next
+    // one.
+    if (std::abs(r.tuned - share()) > kTuneFrom * r.tuned) tune(r, now, false);
     r.queries.fill(now);
     r.answers.fill(now);
     Verdict v;
--- a/src/limits/admission.h
+++ b/src/limits/admission.h
@@ -40,6 +40,9 @@
     // carry over: neither a reload nor a route that comes back frees what was spent. Queries in hand go on.
     void change(std::span<const RouteLimits> routes, int gateways, Instant now);
 
+    // This gateway's part of all that is stated for the fleet, in place of an even one; 0: even again.
+    void part_is(double share) { learned_ = share; }
+
     // Taken if the verdict says so; query_over must then follow, once.
     Verdict query_came(RouteIndex route, double prompt_tokens, bool again, Instant now);
     void query_over(RouteIndex route, double prompt_tokens, bool began, Instant now);
@@ -72,10 +75,14 @@
         LearnedQuantile first_tokens{0.95};
         AdaptiveLimit adaptive;
         RouteCounts counts;
+        double tuned = 0;  // the part that its buckets are filled by
     };
+    double share() const { return learned_ > 0 ? learned_ : 1.0 / gateways_; }
     double part(double of_fleet) const;
+    void tune(Route& r, Instant now, bool fresh);
 
     int gateways_;
+    double learned_ = 0;
     std::vector<Route> routes_;
 };
 
--- a/src/limits/route_limits.h
+++ b/src/limits/route_limits.h
@@ -17,7 +17,7 @@
 
 struct RouteLimits {
     // Time limits; 0: none beyond the query's hard stop.
-    Span read, hand_over, first_token, gap, whole;
+    Span connect, read, hand_over, first_token, gap, whole;
     // Launches.
     std::uint32_t most_launches = kAnyNumber;
     std::uint32_t most_after[kCauses] = {kAnyNumber, kAnyNumber, kAnyNumber, kAnyNumber};
--- a/src/terms/terms_file.cpp
+++ b/src/terms/terms_file.cpp
@@ -42,6 +42,10 @@
      "folder for the last list of servers; none: a restart begins without one"},
     {"fleet", "gateways", Type::whole, "1", 1, 100000, "",
      "gateways in service, of which each keeps to its part"},
+    {"fleet", "parts", Type::choice, "even", 0, 0, "even learned",
+     "how limits that are stated for the fleet are divided: alike, or by each gateway's share of the memory "
+     "that "
+     "writers report"},
     {"fleet", "quantum", Type::span, "4ms", 0.1, 1000, "",
      "how late a timer may ring; answers go out this much before a hard stop"},
     {"kind", "role", Type::choice, nullptr, 0, 0, "reader writer mixed",
@@ -127,6 +131,8 @@
      "condition: carries all of these, each as \"name=value\""},
     {"route", "prompt-from", Type::number, "", 0, 1e9, "tokens", "condition: a prompt of at least so many"},
     {"route", "prompt-under", Type::number, "", 1, 1e9, "tokens", "condition: a prompt of fewer"},
+    {"route", "connect", Type::span, "", 1, kDay, "",
+     "a launch whose connection is not made and greeted by then is taken back unsent, and goes elsewhere"},
     {"route", "read", Type::span, "", 1, kDay, "", "a launch to a reader is called off after this"},
     {"route", "hand-over", Type::span, "", 1, kDay, "",
      "a state that has been read waits this long for a writer"},
@@ -198,6 +204,7 @@
     const auto flag = [&](const char* key, bool& to) {
         if (stated(key)) to = s.flag(key);
     };
+    span("connect", l.connect);
     span("read", l.read);
     span("hand-over", l.hand_over);
     span("first-token", l.first_token);
@@ -373,8 +380,17 @@
             stop = std::min(stop, terms_.hard_stops[c]);
             effectful |= terms_.core.categories[c].effect == Effect::effectful && r.match.category == c;
         }
-        const std::string wait =
-            " than the " + std::to_string(static_cast<std::int64_t>(stop.ms())) + "ms that its clients wait";
+        const auto as_ms = [](Span t) { return std::to_string(static_cast<std::int64_t>(t.ms())) + "ms"; };
+        const std::string wait = " than the " + as_ms(stop) + " that its clients wait";
+        if (l.connect >= terms_.bounds.connect_timeout)
+            refuse("connect", "must be shorter than bounds / connect-timeout, " +
+                                  as_ms(terms_.bounds.connect_timeout) +
+                                  ", after which every launch that waits for the link ends");
+        for (const auto& [stage, within] :
+             {std::pair<const char*, Span>{"read", l.read}, {"first-token", l.first_token}})
+            if (l.connect.us > 0 && within.us > 0 && l.connect >= within)
+                refuse("connect", std::string("must be shorter than ") + stage + ", " + as_ms(within) +
+                                      ", of which it is a part");
         if (l.read > stop) refuse("read", "rule 1: longer" + wait);
         if (l.first_token > stop) refuse("first-token", "rule 1: longer" + wait);
         if (l.read.us > 0 && l.first_token.us > 0 && l.read + l.hand_over + l.first_token > stop)
@@ -550,6 +566,14 @@
     if (how != "none" && !t.core.reports_memory && !t.core.reports_unread)
         wrong(reports, "how", "reports hold nothing; expected memory or unread to be yes");
 
+    t.learned_parts = fleet.text("parts") == "learned";
+    bool told = how != "none" && t.core.reports_memory;
+    for (const Kind& kind : t.core.kinds) told &= kind.role == Role::reader || kind.memory_tokens > 0;
+    if (t.learned_parts && !told)
+        wrong(fleet, "parts",
+              "learned parts need reports / memory, and memory-tokens of every kind that writes; expected "
+              "even");
+
     Bounds& b = t.bounds;
     b.line_bytes = bounds.whole("line-bytes");
     b.unsent_bytes = bounds.whole("unsent-bytes");
--- a/src/terms/terms_file.h
+++ b/src/terms/terms_file.h
@@ -53,6 +53,7 @@
     std::vector<std::string> listener_addresses;
     // Figures of the rules that the module has no use for, but the audit has.
     Span drain_grace, answer_slack;
+    bool learned_parts = false;  // of what is stated for the fleet; else even ones
 };
 
 // What may be said on the command line in the file's place.
--- a/tests/audit/audit_test.cpp
+++ b/tests/audit/audit_test.cpp
@@ -289,6 +289,29 @@
     assert(audited(f).clean());
 }
 
+// Against taking a repeat for the try before it: the first is declined without a launch, and the second,
+// which the same gateway launches soon after, is settled. A launch of the first's own that is declined is
+// still found out.
+void a_repeat_is_not_the_try_before_it() {
+    Files f = clean_day();
+    const auto asked = [](std::int64_t t, const char* id) {
+        return at(t, "ask",
+                  {{"c", "d"}, {"id", id}, {"gw", "g"}, {"cat", "once"}, {"mark", "m0"}, {"budget_ms", 500}});
+    };
+    const auto declined =
+        at(990, "final", {{"c", "d"}, {"id", "90"}, {"end", "declined"}, {"text", "later"}});
+    insert(f, "callers-z", asked(980, "90"));
+    insert(f, "callers-z", declined);
+    if (!audited(f).clean()) std::fprintf(stderr, "%s", audit::text_of(audited(f)).c_str());
+    assert(audited(f).clean());
+    // It came to the gateway before the repeat was asked.
+    Files late = f;
+    for (const char* file : {"r", "w"})
+        for (Json& r : late[file])
+            if (r.value("q", "") == "g.1.q0") r["t"] = r["t"].get<std::int64_t>() - 15000;
+    assert(!audited(late).clean());
+}
+
 // A torn record gives no clean bill; that of a killed process may be torn.
 void torn_records_are_known() {
     Files f = clean_day();
@@ -308,5 +331,6 @@
     each_rule_is_found_out();
     a_push_on_a_cold_server_is_found_out();
     what_a_killed_gateway_left_is_excused();
+    a_repeat_is_not_the_try_before_it();
     torn_records_are_known();
 }
--- a/tests/day/sabotaged_gateway.cpp
+++ b/tests/day/sabotaged_gateway.cpp
@@ -31,6 +31,7 @@
         real_.send_write(launch, to, query, state, from, limit);
     }
     void call_off(LaunchId launch, ServerIndex at) override { real_.call_off(launch, at); }
+    bool unsend(LaunchId launch, ServerIndex at) override { return real_.unsend(launch, at); }
     void release(ServerIndex at, LaunchId state) override {
         if (kind_ == "pinned") return;
         real_.release(at, state);
--- a/tests/desk/desk_test.cpp
+++ b/tests/desk/desk_test.cpp
@@ -3,6 +3,7 @@
 
 #include <cassert>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,7 @@
     Instant wish{INT64_MAX};
     std::vector<Sent> sent;
     std::vector<LaunchId> called_off;
+    std::set<LaunchId> unsent;  // those that still wait for a connection
     std::vector<std::pair<ServerIndex, LaunchId>> released;
     std::map<QueryIndex, std::vector<std::string>> answers;
     std::vector<QueryIndex> closed_queries;
@@ -38,6 +40,7 @@
         sent.push_back({l, to, q, state, false});
     }
     void call_off(LaunchId l, ServerIndex) override { called_off.push_back(l); }
+    bool unsend(LaunchId l, ServerIndex) override { return unsent.count(l) > 0; }
     void release(ServerIndex at, LaunchId state) override { released.emplace_back(at, state); }
     void probe(ServerIndex) override {}
     void subscribe() override {}
@@ -65,6 +68,15 @@
     return t;
 }
 
+Arrival facts(std::uint16_t category) {
+    Arrival a;
+    a.category = category;
+    a.prompt_tokens = 1000;
+    a.most_tokens = 100;
+    a.budget = ms(6000);
+    return a;
+}
+
 struct Story {
     World world;
     Desk desk{terms(), world, 7};
@@ -79,13 +91,8 @@
         desk.list_arrived(list, true);
     }
     QueryIndex ask(std::uint16_t category = 0) {
-        Arrival a;
-        a.category = category;
-        a.prompt_tokens = 1000;
-        a.most_tokens = 100;
-        a.budget = ms(6000);
         const QueryIndex q = desk.open();
-        desk.query_came(q, a);
+        desk.query_came(q, facts(category));
         return q;
     }
     void answer(LaunchId launch, Ending ending) {
@@ -240,13 +247,8 @@
         desk.terms_changed(terms(), {{limits}});
     }
     QueryIndex ask_copied(std::uint16_t category = 0) {
-        Arrival a;
-        a.category = category;
-        a.prompt_tokens = 1000;
-        a.most_tokens = 100;
-        a.budget = ms(6000);
         const QueryIndex q = desk.open();
-        desk.query_came(q, a, 0, limits);
+        desk.query_came(q, facts(category), 0, limits);
         return q;
     }
 };
@@ -325,9 +327,111 @@
     assert(few.desk.tally().copies >= 1 && few.desk.tally().copies <= 3);
 }
 
+// Against a dear or dead connection that eats the time for the whole read: a launch that was never sent has
+// not run, so even an effectful query goes elsewhere, and what was sent is left alone.
+void a_launch_that_waits_too_long_for_its_connection_goes_elsewhere() {
+    for (std::uint16_t category = 0; category < 2; ++category) {
+        Story s;
+        RouteLimits limits;
+        limits.connect = ms(50);
+        s.desk.terms_changed(terms(), {{limits}});
+        const QueryIndex q = s.desk.open();
+        s.world.unsent = {1, 3};
+        s.desk.query_came(q, facts(category), 0, limits);
+        const Sent first = s.last();
+        s.pass(ms(49));
+        assert(s.world.sent.size() == 1);
+        s.pass(ms(2));
+        assert(s.world.sent.size() == 2 && s.last().reading && s.last().to != first.to);
+        assert(s.world.called_off.empty() && s.desk.tally().not_connected == 1);
+        s.pass(ms(200));  // this one was sent
+        assert(s.world.sent.size() == 2);
+        s.answer(s.last().launch, Ending::read);
+        const Sent write = s.last();
+        s.pass(ms(51));
+        assert(s.last().launch != write.launch && !s.last().reading && s.last().to != write.to);
+        s.answer(s.last().launch, Ending::settled);
+        assert(s.world.answers[q] == std::vector<std::string>{"settled"});
+        assert(s.desk.tally().not_connected == 2);
+    }
+}
+
+// A gateway that has most of what a writer reports takes most of a fleet's limit, and no more when it is told
+// no more.
+void a_part_of_the_fleet_is_learned_from_reports() {
+    Story s;
+    Terms many = terms();
+    many.gateways = 10;
+    s.desk.terms_changed(many, {{RouteLimits{}}});
+    assert(s.desk.part() == 0.1);
+    s.desk.parts_are_learned(true);
+    const auto write_one = [&](double told_by_reader, double told_by_writer) {
+        s.ask();
+        Outcome read;
+        read.ending = Ending::read;
+        read.report.memory_share = told_by_reader;
+        s.desk.launch_ended(s.last().launch, read);
+        Outcome settled;
+        settled.ending = Ending::settled;
+        settled.report.memory_share = told_by_writer;
+        s.desk.launch_ended(s.last().launch, settled);
+    };
+    write_one(0.9, 0);  // a reader's texts are nobody's share
+    assert(s.desk.part() == 0.1);
+    write_one(-1, 0.05);  // all of what the writer has is others'
+    assert(s.desk.part() < 0.03);
+    // Two that this gateway has there: 2,000 of the 4,000 tokens that it reports.
+    for (int n = 0; n < 40; ++n) {
+        s.ask();
+        s.answer(s.last().launch, Ending::read);
+    }
+    for (int n = 0; n < 200; ++n) {
+        s.pass(ms(1));
+        LoadReport report;
+        report.memory_share = 0.4;
+        s.desk.probe_answered(2, true, report);
+        s.desk.probe_answered(3, true, report);
+    }
+    assert(s.desk.part() > 0.3 && s.desk.part() < 0.5);
+}
+
+// Against a reload that finds second copies out: those that run keep the terms that they came with and still
+// make one answer; what comes afterwards under the changed category is never out twice.
+void a_category_turns_effectful_while_second_copies_run() {
+    CopyStory s;
+    const QueryIndex early = s.ask_copied(), later = s.ask_copied();
+    s.pass(ms(201));
+    assert(s.world.sent.size() == 4);
+    Terms turned = terms();
+    turned.categories.push_back(turned.categories[0]);  // as a gateway does it: the same name, a new index
+    turned.categories[2].effect = Effect::effectful;
+    s.desk.terms_changed(turned, {{s.limits}});
+    assert(s.world.called_off.empty());
+    const QueryIndex fresh = s.ask_copied(2);
+    s.pass(ms(1000));
+    assert(s.world.sent.size() == 5);
+    const LaunchId only = s.last().launch, copy = s.world.sent[3].launch, slow = s.world.sent[0].launch;
+    for (const LaunchId read : {slow, copy, only}) s.answer(read, Ending::read);
+    QueryIndex whose = 99;
+    std::map<QueryIndex, int> writes;
+    for (std::size_t n = 5; n < s.world.sent.size(); ++n) {
+        ++writes[s.world.sent[n].query];
+        s.desk.token_came(s.world.sent[n].launch, whose);
+        s.answer(s.world.sent[n].launch, Ending::settled);
+    }
+    assert(writes[fresh] == 1);
+    s.pass(ms(10000));
+    for (const QueryIndex q : {early, later, fresh})
+        assert(s.world.answers[q] == std::vector<std::string>{"settled"});
+    assert(s.desk.launches_out() == 0 && s.desk.open_queries() == 0);
+}
+
 }  // namespace
 
 int main() {
+    a_launch_that_waits_too_long_for_its_connection_goes_elsewhere();
+    a_category_turns_effectful_while_second_copies_run();
+    a_part_of_the_fleet_is_learned_from_reports();
     a_query_is_read_written_and_settled();
     nothing_follows_the_final_answer();
     a_silent_stream_is_given_up();
--- a/tests/desk/play_test.cpp
+++ b/tests/desk/play_test.cpp
@@ -41,6 +41,7 @@
         if (*rc::gen::inRange(0, 3) != 0) return;
         out += " (" + key + " " + (*rc::gen::inRange(0, 60) == 0 ? bad : *rc::gen::elementOf(good)) + ")";
     };
+    maybe("connect", {"10ms", "40ms"}, "2s");
     maybe("read", {"100ms", "500ms"}, "3s");
     maybe("hand-over", {"50ms", "400ms"}, "2s");
     maybe("first-token", {"100ms", "900ms"}, "3s");
@@ -124,6 +125,14 @@
         it->second.called_off = true;
         ended(l, !it->second.reading);
     }
+    // Every third still waited for its connection, so it has not run.
+    bool unsend(LaunchId l, ServerIndex) override {
+        const auto it = out.find(l);
+        if (it == out.end() || it->second.called_off || l % 3 != 0) return false;
+        ended(l, false);
+        out.erase(it);
+        return true;
+    }
     // The gateway waits for it no longer.
     void ended(LaunchId l, bool may_have_run) {
         Asked& a = of(out.at(l).query);
--- a/tests/gateway/engines_test.cpp
+++ b/tests/gateway/engines_test.cpp
@@ -241,6 +241,23 @@
     assert(peer.heard.size() == 1 && peer.heard[0].id == rpc::Id{std::int64_t{2}});
 }
 
+// Against a dear greeting: what still waits can be taken back, and then nobody hears of it; what was sent
+// can't.
+void only_what_waits_for_its_link_can_be_taken_back() {
+    Story s;
+    Peer peer(s.loop);
+    s.engines->learn(0, peer.listener.address().text());
+    s.send(0, 1);
+    s.send(0, 2);
+    assert(s.engines->unsend(1) && !s.engines->unsend(1) && !s.engines->unsend(9));
+    s.run([&] { return !peer.heard.empty(); });
+    assert(peer.heard[0].id == rpc::Id{std::int64_t{2}});
+    assert(!s.engines->unsend(2));
+    peer.reset_all();
+    s.run([&] { return !s.ended.empty(); });
+    assert((s.ended == Ends{{2, Ending::broken}}));
+}
+
 // Against an engine that takes no more bytes.
 void an_engine_that_never_reads_is_cut_off() {
     Story s;
@@ -273,5 +290,6 @@
     links_are_shared_up_to_their_bound_and_closed_when_idle();
     a_release_waits_for_a_link();
     a_launch_called_off_before_its_link_is_made_is_never_sent();
+    only_what_waits_for_its_link_can_be_taken_back();
     an_engine_that_never_reads_is_cut_off();
 }
--- a/tests/limits/limits_test.cpp
+++ b/tests/limits/limits_test.cpp
@@ -8,7 +8,9 @@
 #include <deque>
 #include <random>
 
+#include "../../bench/slot_fleet.h"
 #include "limits/admission.h"
+#include "limits/fleet_share.h"
 
 using namespace copperfront;
 
@@ -180,71 +182,26 @@
     assert(a.query_came(1, 1, false, kStart).why == Refusal::none);
 }
 
-// A fleet that serves `capacity` queries at once, each in 100 ms; what is over waits in line. Returns the
-// mean of the limit and of first tokens over the last half, at `load` times what it can do.
-struct Seen {
-    double limit = 0, first_ms = 0, served = 0;
-};
-Seen played(double load, double slow_from_s = 1e9, double slow_until_s = 0) {
+slot_fleet::Seen played(double load, double slow_from_s = 1e9, double slow_until_s = 0) {
     RouteLimits l;
     l.adapts = true;
-    Admission a = with(l);
-    std::minstd_rand chance(9);
-    constexpr int kCapacity = 40;
-    std::deque<Instant> line;                       // when each came
-    std::vector<std::pair<Instant, Instant>> busy;  // until, and when it came
-    Seen seen;
-    double samples = 0, count = 0;
-    double due = 0;
-    for (int t = 0; t < 20000; ++t) {
-        const Instant now = kStart + ms(t);
-        const double s = t / 1000.0;
-        const double slow = s >= slow_from_s && s < slow_until_s ? 4 : 1;
-        for (std::size_t i = 0; i < busy.size();) {
-            if (busy[i].first > now) {
-                ++i;
-                continue;
-            }
-            a.began(0, now - busy[i].second, now);
-            a.query_over(0, 1, true, now);
-            if (t > 10000) {
-                seen.first_ms += (now - busy[i].second).ms();
-                ++count;
-            }
-            busy.erase(busy.begin() + static_cast<std::ptrdiff_t>(i));
-        }
-        for (due += load * kCapacity / 100.0; due >= 1; due -= 1)
-            if (a.query_came(0, 1, false, now).why == Refusal::none) line.push_back(now);
-        while (!line.empty() && busy.size() < kCapacity) {
-            const double took =
-                100 * slow * (0.8 + 0.4 * std::uniform_real_distribution<double>(0, 1)(chance));
-            busy.emplace_back(now + ms(static_cast<std::int64_t>(took)), line.front());
-            line.pop_front();
-        }
-        if (t > 10000) {
-            seen.limit += a.counts(0).limit;
-            samples += 1;
-        }
-    }
-    seen.limit /= samples;
-    seen.first_ms /= std::max(1.0, count);
-    seen.served = count / 10;
-    return seen;
+    return slot_fleet::play(l,
+                            {.of_capacity = load, .slow_from_s = slow_from_s, .slow_until_s = slow_until_s});
 }
 
 // Against jams: at three times what the fleet can do, first tokens stay near what they are unloaded, and the
 // fleet stays busy; at half of it the limit is not in the way; after four slow seconds it is back.
 void an_adaptive_limit_finds_its_place() {
-    const Seen half = played(0.5), over = played(3), recovered = played(0.9, 3, 7);
+    const auto half = played(0.5), over = played(3), recovered = played(0.9, 3, 7);
     std::fprintf(
         stderr,
         "adaptive: at 0.5 x limit %.0f first %.0f ms, %.0f/s; at 3 x limit %.0f first %.0f ms, %.0f/s; "
         "after a slow spell limit %.0f first %.0f ms, %.0f/s\n",
-        half.limit, half.first_ms, half.served, over.limit, over.first_ms, over.served, recovered.limit,
-        recovered.first_ms, recovered.served);
-    assert(half.served > 198 && half.first_ms < 110);
-    assert(over.served > 0.95 * 400 && over.first_ms < 250);
-    assert(recovered.served > 0.95 * 360);
+        half.limit, half.first_ms, half.settled, over.limit, over.first_ms, over.settled, recovered.limit,
+        recovered.first_ms, recovered.settled);
+    assert(half.settled > 190 && half.first_ms < 110);
+    assert(over.settled > 0.95 * 400 && over.first_ms < 250);
+    assert(recovered.settled > 0.93 * 360);
 }
 
 // Against a fleet from which nothing comes back: no first token tells of it, so losses alone must.
@@ -288,6 +245,53 @@
     assert(to_fall < 600);
 }
 
+// Against a limit that one busy gateway meets long before the fleet does: what a gateway has of the whole is
+// its part, and the parts of all never add up to more than the whole.
+void a_learned_part_follows_the_load() {
+    std::vector<FleetShare> shares(4, FleetShare(4));
+    Instant now = kStart;
+    double sum = 0;
+    for (int n = 0; n < 100; ++n, now = now + ms(100))
+        for (std::size_t g = 0; g < 4; ++g) shares[g].report(g == 0 ? 700 : 100, 1000, now);
+    for (const FleetShare& s : shares) sum += s.value(now);
+    assert(std::abs(shares[0].value(now) - 0.61) < 0.001 && std::abs(sum - 1) < 0.001);
+    // A report that shows less than this gateway has itself is an old one.
+    FleetShare mistaken(4);
+    mistaken.report(500, 100, now);
+    assert(mistaken.value(now) <= 1);
+    // Without reports, and with a clock that jumps, it is even again.
+    assert(shares[0].value(now + ms(10001)) == 0.25 && FleetShare(5).value(now) == 0.2);
+    shares[0].report(0, 0, now);
+    shares[0].report(100, 1000, now + ms(3600000));
+    assert(shares[0].value(now + ms(3600000)) < 0.2);
+}
+
+// The part is taken up by what comes next, both ways, and is not won by any number of small steps.
+void an_admission_keeps_to_its_learned_part() {
+    RouteLimits l;
+    l.rate = 100;
+    Admission a = with(l, 10);
+    const auto taken_in = [&](int from_ms, int to_ms) {
+        int taken = 0;
+        for (int t = from_ms; t < to_ms; ++t)
+            taken += a.query_came(0, 1, false, kStart + ms(t)).why == Refusal::none;
+        return taken;
+    };
+    taken_in(0, 1000);
+    a.part_is(0.5);
+    const int grown = taken_in(1000, 3000);
+    assert(grown >= 98 && grown <= 100);
+    a.part_is(0);
+    const int even = taken_in(3000, 5000);
+    assert(even >= 19 && even <= 30);
+    int jittered = 0;
+    for (int n = 0; n < 100; ++n) {
+        a.part_is(n % 2 ? 0.2 : 0.1);
+        jittered += taken_in(5000 + n * 20, 5020 + n * 20);
+    }
+    assert(jittered <= 45);
+}
+
 // Counts never go wrong, whatever order things happen in.
 void counts_stay_whole() {
     assert(rc::check("random events", [] {
@@ -330,5 +334,7 @@
     an_adaptive_limit_finds_its_place();
     an_adaptive_limit_falls_when_all_is_lost();
     a_learned_quantile_is_near_the_sorted_one();
+    a_learned_part_follows_the_load();
+    an_admission_keeps_to_its_learned_part();
     counts_stay_whole();
 }
--- a/tests/terms/terms_test.cpp
+++ b/tests/terms/terms_test.cpp
@@ -84,6 +84,13 @@
             4, "connect-timeout", "rule 1");
     refused(with(kWell, "(zone \"north\")\n  (kind", "(zone \"north\")\n  (reports (memory yes))\n  (kind"),
             4, "reports / how", "never made");
+    for (const auto& [limits, key, what] :
+         {std::tuple{"(connect 250ms)", "connect", "shorter than bounds / connect-timeout, 250ms"},
+          {"(connect 100ms) (read 80ms)", "connect", "shorter than read, 80ms"},
+          {"(connect 100ms) (first-token 100ms)", "connect", "shorter than first-token, 100ms"}})
+        refused(with(kWell, "(rules", std::string("(route \"default\" ") + limits + ") (rules"), 7, key,
+                what);
+    refused(with(kWell, "(rules", "(fleet (parts learned)) (rules"), 7, "fleet / parts", "expected even");
     refused(kWell.substr(0, kWell.size() - 1), 1, "", "never closed");
     refused(kWell + ")", 8, "", "closing bracket too many");
     refused("(terms)", 1, "", "expected (copperfront ...)");
