--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -22,6 +22,7 @@
 void add_standin(CLI::App& app, Command& chosen);
 void add_day(CLI::App& app, Command& chosen);
 void add_audit(CLI::App& app, Command& chosen);
+void add_trace(CLI::App& app, Command& chosen);
 void add_callers(CLI::App& app, Command& chosen);
 
 // One plain line on standard error.
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -17,6 +17,7 @@
     add_terms(app, chosen);
     add_day(app, chosen);
     add_audit(app, chosen);
+    add_trace(app, chosen);
     add_standin(app, chosen);
     add_callers(app, chosen);
     try {
--- /dev/null
+++ b/src/trace/keeping.cpp
@@ -0,0 +1,42 @@
+#include "trace/keeping.h"
+
+#include <algorithm>
+
+namespace copperfront::trace {
+namespace {
+
+constexpr Span kFirstWait{250000}, kLongestWait{30000000};  // ours
+
+}  // namespace
+
+std::vector<std::string> Keeping::let_go(const std::vector<Disk::Kept>& files,
+                                         const std::string& open) const {
+    std::uint64_t all = 0;
+    for (const Disk::Kept& f : files) all += f.bytes;
+    std::vector<std::string> out;
+    // Room for the file that is being written to grow into, or the budget would be passed before its end.
+    const std::uint64_t room =
+        terms_.folder_bytes > terms_.file_bytes ? terms_.folder_bytes - terms_.file_bytes : 0;
+    for (const Disk::Kept& f : files) {
+        if (all <= room) break;
+        if (f.name == open) continue;
+        out.push_back(f.name);
+        all -= f.bytes;
+    }
+    return out;
+}
+
+bool Keeping::failed(Instant now) {
+    Span wait = kFirstWait;
+    for (std::uint32_t n = 0; n < failures_ && wait < kLongestWait; ++n) wait = wait * 2;
+    again_ = now + std::min(wait, kLongestWait);
+    return failures_++ == 0;
+}
+
+bool Keeping::went_well() {
+    const bool had = failures_ > 0;
+    failures_ = 0;
+    return had;
+}
+
+}  // namespace copperfront::trace
