--- a/bench/relay_bench.cpp
+++ b/bench/relay_bench.cpp
@@ -27,10 +27,11 @@
 
 constexpr LinkBounds kBounds{1 << 20, 1 << 28};
 
-void pin(int core) {
+void pin(int core, int another = -1) {
     cpu_set_t set;
     CPU_ZERO(&set);
     CPU_SET(core, &set);
+    if (another >= 0) CPU_SET(another, &set);
     sched_setaffinity(0, sizeof set, &set);
 }
 
@@ -295,13 +296,13 @@
     std::string address;
 };
 
-Child start(const std::vector<std::string>& args, int core) {
+Child start(const std::vector<std::string>& args, int core, int another = -1) {
     int out[2];
     if (pipe(out) != 0) throw std::runtime_error("pipe");
     Child child;
     child.pid = fork();
     if (child.pid == 0) {
-        pin(core);
+        pin(core, another);
         dup2(out[1], 1);
         std::vector<char*> argv;
         for (const auto& a : args) argv.push_back(const_cast<char*>(a.c_str()));
@@ -360,6 +361,8 @@
 struct Bench {
     std::string self, copperfront;
     double seconds = 5;
+    std::vector<std::string>
+        under;  // a program that runs the gateway and counts, such as valgrind's callgrind
 
     Child subject(const std::string& which, const Child& reader, const Child& writer, const Child& roster) {
         if (which == "relay") return start({self, "relay", reader.address, writer.address}, 1);
@@ -442,6 +445,72 @@
                     both[1].token_99 - both[0].token_99);
     }
 
+    // With and without a trace in turn, each several times, as one run differs from the next by more than a
+    // trace costs. Both may use two cores, as a gateway's machine has more than one.
+    void traced(std::size_t tokens) {
+        constexpr int kRounds = 12;
+        std::vector<double> rate[2], cpu[2];
+        std::uint64_t bytes = 0, queries = 0;
+        for (int round = 0; round < 2 * kRounds; ++round) {
+            const int which = round % 4 == 1 || round % 4 == 2;  // without, with, with, without
+            const std::string folder = (std::filesystem::temp_directory_path() /
+                                        ("copperfront-bench-trace-" + std::to_string(getpid())))
+                                           .string();
+            Child reader = start({self, "engine", "--tokens", std::to_string(tokens)}, 3);
+            Child writer = start({self, "engine", "--tokens", std::to_string(tokens)}, 3);
+            Child roster = make_roster(reader, writer);
+            const std::string terms =
+                (std::filesystem::temp_directory_path() / ("copperfront-bench-" + std::to_string(getpid())))
+                    .string();
+            std::ofstream(terms) << kTerms;
+            std::vector<std::string> args{copperfront,    "gateway",     terms,  "--roster",
+                                          roster.address, "--log-level", "error"};
+            if (which == 1) args.insert(args.end(), {"--trace", folder});
+            args.insert(args.begin(), under.begin(), under.end());
+            Child gateway = start(args, 1, 0);
+            usleep(300000);
+            const double before = cpu_s(gateway.pid);
+            Load load(gateway.address, 64, 0, seconds, 400);
+            const Measured m = load.run();
+            rate[which].push_back(m.queries_s);
+            cpu[which].push_back((cpu_s(gateway.pid) - before) * 1e6 / static_cast<double>(m.settled) *
+                                 seconds / (seconds + 1));
+            if (!under.empty()) {
+                // What it counted is said at an orderly end only.
+                std::printf("%s a trace: %zu settled, process %d\n", which == 0 ? "without" : "with",
+                            m.settled, gateway.pid);
+                std::fflush(stdout);
+                kill(gateway.pid, SIGTERM);
+                waitpid(gateway.pid, nullptr, 0);
+                for (Child* c : {&reader, &writer, &roster}) stop(*c);
+                if (round == 1) return;
+                continue;
+            }
+            for (Child* c : {&gateway, &reader, &writer, &roster}) stop(*c);
+            if (which == 0) continue;
+            queries += m.settled;
+            for (const auto& file : std::filesystem::directory_iterator(folder)) bytes += file.file_size();
+            std::filesystem::remove_all(folder);
+        }
+        std::vector<double> ratios;
+        for (int n = 0; n < kRounds; ++n) {
+            const auto at = static_cast<std::size_t>(n);
+            ratios.push_back(rate[1][at] / rate[0][at]);
+        }
+        for (auto* all : {&rate[0], &rate[1], &cpu[0], &cpu[1], &ratios}) std::sort(all->begin(), all->end());
+        std::printf("\n%zu tokens a query, without a trace and with one, %d runs each in turn\n", tokens,
+                    kRounds);
+        for (int which = 0; which < 2; ++which)
+            std::printf("%-8s %10.0f queries/s in the middle (%.0f to %.0f), %.1f us CPU a query\n",
+                        which == 0 ? "without" : "with", rate[which][kRounds / 2], rate[which].front(),
+                        rate[which].back(), cpu[which][kRounds / 2]);
+        std::printf(
+            "with against without, pair by pair: %.3f in the middle, half of them within %.3f to %.3f; "
+            "%.0f bytes a query on disk\n",
+            ratios[kRounds / 2], ratios[kRounds / 4], ratios[kRounds * 3 / 4],
+            static_cast<double>(bytes) / static_cast<double>(queries));
+    }
+
     void held(std::size_t queries) {
         Child reader = start({self, "engine", "--never-reads"}, 3);
         Child writer = start({self, "engine"}, 3);
@@ -501,6 +570,10 @@
     auto* run = app.add_subcommand("run", "all measurements");
     run->add_option("COPPERFRONT", bench.copperfront)->required();
     run->add_option("--seconds", bench.seconds);
+    auto* trace = app.add_subcommand("trace", "throughput with and without a trace");
+    trace->add_option("COPPERFRONT", bench.copperfront)->required();
+    trace->add_option("--seconds", bench.seconds);
+    trace->add_option("--under", bench.under, "run the gateway by this program");
     CLI11_PARSE(app, argc, argv);
     try {
         if (*engine) {
@@ -512,6 +585,10 @@
             if (readlink("/proc/self/exe", self, sizeof self - 1) < 0) return 1;
             bench.self = self;
             pin(2);
+            if (*trace) {
+                for (const std::size_t n : {std::size_t{20}, std::size_t{200}}) bench.traced(n);
+                return 0;
+            }
             for (const std::size_t n : {std::size_t{20}, std::size_t{200}}) {
                 bench.throughput(n);
                 bench.latency(n);
--- a/src/cli/trace_commands.cpp
+++ b/src/cli/trace_commands.cpp
@@ -401,15 +401,14 @@
     bool well = true;
     for (const std::string& path : paths) {
         std::string why;
-        auto source = open_source(path, why);
-        auto file = source ? TraceFile::open(std::move(source), path, why) : nullptr;
+        const std::shared_ptr<const Source> source = open_source(path, why);
+        const auto file = source ? TraceFile::open(source, path, why) : nullptr;
         if (!file) {
             complain(path + ": " + why);
             well = false;
             continue;
         }
-        auto again = open_source(path, why);
-        const auto found = again ? TraceFile::scan(std::move(again), path, why) : nullptr;
+        const auto found = TraceFile::scan(source, path, why);
         bool whole = file->closed() && found && found->torn().empty();
         std::string notes;
         // The footer against what is there.
@@ -591,6 +590,25 @@
         auto out = out_option(*mending);
         mending->callback([=, &chosen] { chosen = [=] { return mend(*path, *out); }; });
     }
+    trace
+        ->add_subcommand("columns",
+                         "Print every column of the three tables, as docs/trace-format.md has them")
+        ->callback([&chosen] {
+            chosen = [] {
+                constexpr const char* kStores[] = {"", "number", "delta", "name", "mark", "numbers", "names"};
+                for (const Table t : kTables) {
+                    std::printf(
+                        "### Table %d, %s\n\n| column | stored as | since version | |\n| --- | --- | --- | "
+                        "--- |\n",
+                        static_cast<int>(t), name_of(t));
+                    for (const Column& c : columns_of(t))
+                        std::printf("| `%s` | %s | %u | %s |\n", c.name, kStores[static_cast<int>(c.store)],
+                                    c.since, c.meaning);
+                    std::printf("\n");
+                }
+                return kWell;
+            };
+        });
     auto* differing = trace->add_subcommand("diff", "What has changed between the summaries of two traces");
     {
         auto a = std::make_shared<std::string>(), b = std::make_shared<std::string>();
--- a/src/desk/witness.h
+++ b/src/desk/witness.h
@@ -1,5 +1,5 @@
 // Whoever keeps a trace of a desk: told of each query's decisions and of what became of them, after they were
-// taken. Nothing that it does may come back to the desk.
+// taken. Nothing that it does may come back to the desk. Reasons are texts that stay where they are.
 #pragma once
 
 #include <cstdint>
--- a/src/gateway/trace_feed.cpp
+++ b/src/gateway/trace_feed.cpp
@@ -42,10 +42,21 @@
 TraceFeed::~TraceFeed() { happened(Happening::stopped, "", "", 0); }
 
 std::int64_t TraceFeed::name(std::string_view text) {
+    if (text.empty()) return 0;
     text_.assign(text);
     return recorder_->code(text_);
 }
 
+std::int64_t TraceFeed::literal(std::string_view text) {
+    if (text.empty()) return 0;
+    auto& [place, code] = literals_[(reinterpret_cast<std::uintptr_t>(text.data()) >> 3) % literals_.size()];
+    if (place != text.data()) {
+        place = text.data();
+        code = name(text);
+    }
+    return code;
+}
+
 std::int64_t TraceFeed::server(ServerIndex s) {
     if (s >= codes_.size()) codes_.resize(s + 1, 0);
     if (codes_[s] == 0) codes_[s] = recorder_->code(servers_.name(s));
@@ -81,7 +92,7 @@
 
 void TraceFeed::held(QueryIndex query, std::string_view why) {
     Row& r = row(Deed::held, query);
-    r[decision_column::why] = name(why);
+    r[decision_column::why] = literal(why);
     put(r);
 }
 
@@ -90,7 +101,7 @@
     Row& r = row(reading ? Deed::read : Deed::write, query);
     r[decision_column::server] = server(to);
     r[decision_column::launch] = static_cast<std::int64_t>(launch);
-    r[decision_column::why] = name(choice.why);
+    r[decision_column::why] = literal(choice.why);
     r[decision_column::limit] = limit.us;
     r[decision_column::of] = static_cast<std::int64_t>(choice.of);
     for (const Host::Sight& s : choice.seen) {
@@ -107,7 +118,7 @@
     r[decision_column::launch] = static_cast<std::int64_t>(launch);
     r[decision_column::ending] = static_cast<std::int64_t>(ending);
     r[decision_column::took] = took.us;
-    r[decision_column::why] = name(why);
+    r[decision_column::why] = literal(why);
     put(r);
 }
 
@@ -122,7 +133,7 @@
 void TraceFeed::copied(QueryIndex query, ServerIndex slow) {
     Row& r = row(Deed::copy, query);
     r[decision_column::server] = server(slow);
-    r[decision_column::why] = name("no first token yet");
+    r[decision_column::why] = literal("no first token yet");
     put(r);
 }
 
@@ -151,7 +162,7 @@
     q[most_tokens] = k.most_tokens;
     q[budget] = k.budget;
     q[outcome] = static_cast<std::int64_t>(fate);
-    q[reason] = name(why);
+    q[reason] = literal(why);
     q[query_column::first_token] = a.first_token.us;
     q[answer_tokens] = whole(a.tokens > 0                         ? a.tokens
                              : fate == copperfront::Fate::settled ? whole_tokens_
--- a/src/gateway/trace_feed.h
+++ b/src/gateway/trace_feed.h
@@ -1,6 +1,7 @@
 // Puts what a desk tells into the rows of a trace. Only words change here; nothing is decided.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -53,8 +54,11 @@
     };
     trace::Row& row(trace::Deed deed, QueryIndex query);
     std::int64_t name(std::string_view text);
+    // Of a text that stays where it is for as long as the process runs.
+    std::int64_t literal(std::string_view text);
     std::int64_t server(ServerIndex s);
-    void put(const trace::Row& row) { recorder_->add(row, loop_.now()); }
+    // One reading of the clock for each row.
+    void put(const trace::Row& row) { recorder_->add(row, Instant{row.at()}); }
 
     Loop& loop_;
     Log& log_;
@@ -65,6 +69,8 @@
     std::vector<std::int64_t> codes_;  // by server; 0: not made yet
     trace::Row row_{trace::Table::decisions};
     std::string text_;
+    // Reasons come as literals, so the same few places in memory are met over and over.
+    std::array<std::pair<const char*, std::int64_t>, 32> literals_{};
     double whole_tokens_ = 0;
     Span hand_over_;
     Timer tick_;
--- a/src/trace/file.cpp
+++ b/src/trace/file.cpp
@@ -77,7 +77,7 @@
     return nullptr;
 }
 
-std::unique_ptr<TraceFile> TraceFile::begin(std::unique_ptr<Source> source, std::string name,
+std::unique_ptr<TraceFile> TraceFile::begin(std::shared_ptr<const Source> source, std::string name,
                                             std::string& why) {
     std::unique_ptr<TraceFile> file(new TraceFile);
     file->source_ = std::move(source);
@@ -94,7 +94,7 @@
     return file;
 }
 
-std::unique_ptr<TraceFile> TraceFile::open(std::unique_ptr<Source> source, std::string name,
+std::unique_ptr<TraceFile> TraceFile::open(std::shared_ptr<const Source> source, std::string name,
                                            std::string& why) {
     auto file = begin(std::move(source), std::move(name), why);
     if (!file) return nullptr;
@@ -103,7 +103,7 @@
     return file;
 }
 
-std::unique_ptr<TraceFile> TraceFile::scan(std::unique_ptr<Source> source, std::string name,
+std::unique_ptr<TraceFile> TraceFile::scan(std::shared_ptr<const Source> source, std::string name,
                                            std::string& why) {
     auto file = begin(std::move(source), std::move(name), why);
     if (!file) return nullptr;
--- a/src/trace/file.h
+++ b/src/trace/file.h
@@ -48,10 +48,10 @@
   public:
     // Null: it is no trace at all, or of a version that is not known; `why` tells which. Anything that
     // follows a whole header is a trace, if of no blocks.
-    static std::unique_ptr<TraceFile> open(std::unique_ptr<Source> source, std::string name,
+    static std::unique_ptr<TraceFile> open(std::shared_ptr<const Source> source, std::string name,
                                            std::string& why);
     // Without a look at its footer: what `verify` and a damaged index need.
-    static std::unique_ptr<TraceFile> scan(std::unique_ptr<Source> source, std::string name,
+    static std::unique_ptr<TraceFile> scan(std::shared_ptr<const Source> source, std::string name,
                                            std::string& why);
 
     const std::string& name() const { return name_; }
@@ -76,13 +76,13 @@
     std::vector<std::uint32_t> blocks_of_server(const std::string& server) const;
 
   private:
-    static std::unique_ptr<TraceFile> begin(std::unique_ptr<Source> source, std::string name,
+    static std::unique_ptr<TraceFile> begin(std::shared_ptr<const Source> source, std::string name,
                                             std::string& why);
     bool read_footer();
     void find_blocks();
     void build();
 
-    std::unique_ptr<Source> source_;
+    std::shared_ptr<const Source> source_;
     std::string name_;
     Header header_;
     std::size_t header_size_ = 0;
--- a/src/trace/rows.cpp
+++ b/src/trace/rows.cpp
@@ -103,7 +103,7 @@
 }
 
 Batch::Batch(Table table)
-    : table_(table), values_(columns_of(table).size()), ends_(columns_of(table).size()) {}
+    : table_(table), columns_(columns_of(table)), values_(columns_.size()), ends_(columns_.size()) {}
 
 std::size_t Batch::list_place(Table table, std::size_t column) {
     std::size_t place = 0;
@@ -113,10 +113,9 @@
 }
 
 void Batch::add(const Row& row) {
-    const auto columns = columns_of(table_);
     std::size_t list = 0;
-    for (std::size_t c = 0; c < columns.size(); ++c) {
-        if (!is_list(columns[c].store)) {
+    for (std::size_t c = 0; c < columns_.size(); ++c) {
+        if (!is_list(columns_[c].store)) {
             values_[c].push_back(row.values[c]);
             continue;
         }
--- a/src/trace/rows.h
+++ b/src/trace/rows.h
@@ -172,6 +172,7 @@
 
   private:
     Table table_;
+    std::span<const Column> columns_;
     std::vector<std::vector<std::int64_t>> values_;
     std::vector<std::vector<std::uint32_t>> ends_;
 };
--- a/tests/limits/limits_test.cpp
+++ b/tests/limits/limits_test.cpp
@@ -172,6 +172,33 @@
     assert(taken_in(11000, 21000) <= 1200 + 8);
 }
 
+// Against a failure of all writers that twenty routes multiply, each for itself: all together keep to the
+// share.
+void twenty_routes_that_all_fail_keep_to_their_share() {
+    RouteLimits l;
+    l.retry_share = 0.2;
+    l.retry_floor = 0.5;
+    Admission a(1, kStart);
+    a.change(std::vector<RouteLimits>(20, l), 1, kStart);
+    int first = 0, further = 0, most_in_a_second = 0, this_second = 0;
+    for (int t = 0; t < 30000; ++t) {
+        const Instant now = kStart + ms(t);
+        for (RouteIndex r = 0; r < 20; ++r) {
+            if ((t + static_cast<int>(r) * 7) % 25 != 0) continue;  // 40 a second each
+            a.launched_first(r, now);
+            ++first;
+            // Every launch fails, and so does each that follows it, up to five.
+            for (int again = 0; again < 5 && a.may_launch_again(r, now); ++again) ++this_second;
+        }
+        if (t % 1000 != 999) continue;
+        further += this_second;
+        if (t > 11000) most_in_a_second = std::max(most_in_a_second, this_second);
+        this_second = 0;
+    }
+    assert(first == 24000 && further <= 0.2 * first + 20 * 0.5 * 40);
+    assert(most_in_a_second <= 2 * (0.2 * 800 + 10));
+}
+
 void a_flood_on_one_route_leaves_the_others_alone() {
     Admission a(1, kStart);
     RouteLimits few;
@@ -330,6 +357,7 @@
     prompt_tokens_and_answer_tokens_are_bounded();
     the_fleet_keeps_to_a_stated_limit();
     a_gateway_count_that_doubles_overshoots_by_half_at_most();
+    twenty_routes_that_all_fail_keep_to_their_share();
     a_flood_on_one_route_leaves_the_others_alone();
     an_adaptive_limit_finds_its_place();
     an_adaptive_limit_falls_when_all_is_lost();
