--- a/src/terms/terms_file.cpp
+++ b/src/terms/terms_file.cpp
@@ -177,7 +177,7 @@
     {"trace", "file-age", Type::span, "1h", 1000, 30 * kDay, "", "and at this age"},
     {"trace", "folder-bytes", Type::whole, "1073741824", 131072, 1e15, "bytes",
      "of all files of this gateway's name; the oldest are let go first"},
-    {"trace", "hand-over", Type::span, "200ms", 1, 60000, "",
+    {"trace", "hand-over", Type::span, "1s", 1, 60000, "",
      "rows go to the disk this long after they were made; a kill loses no more"},
     {"trace", "sync", Type::span, "1s", 1, 600000, "", "between syncs; a loss of power loses no more"},
     {"log", "level", Type::choice, "info", 0, 0, "trace debug info warn error",
--- a/src/trace/keeping.h
+++ b/src/trace/keeping.h
@@ -15,7 +15,7 @@
     std::uint64_t file_bytes = 64U << 20;   // a new file begins at this size
     Span file_age{3600000000};              // and at this age
     std::uint64_t folder_bytes = 1U << 30;  // of all of this gateway's files, the oldest let go first
-    Span hand_over{200000};                 // rows wait no longer than this for the writing thread
+    Span hand_over{1000000};                // rows wait no longer than this for the writing thread
     Span sync{1000000};                     // between syncs
     std::size_t queue = 16;                 // packages of rows that may wait for the disk
 };
