--- a/src/trace/keeping.cpp
+++ b/src/trace/keeping.cpp
@@ -9,6 +9,18 @@
 
 }  // namespace
 
+// Against a gateway whose name begins another's: g1 must not let go of the files of g1-b.
+bool Keeping::is_of(const std::string& file, const std::string& gateway) {
+    const std::string head = gateway + "-", tail = ".cft";
+    if (file.size() <= head.size() + tail.size() || file.compare(0, head.size(), head) != 0 ||
+        file.compare(file.size() - tail.size(), tail.size(), tail) != 0)
+        return false;
+    const std::string middle = file.substr(head.size(), file.size() - head.size() - tail.size());
+    const std::size_t dash = middle.find('-');
+    return dash != std::string::npos && dash > 0 && middle.find_first_not_of("0123456789abcdef") == dash &&
+           middle.size() >= dash + 7 && middle.find_first_not_of("0123456789", dash + 1) == std::string::npos;
+}
+
 std::vector<std::string> Keeping::let_go(const std::vector<Disk::Kept>& files,
                                          const std::string& open) const {
     std::uint64_t all = 0;
--- a/src/trace/keeping.h
+++ b/src/trace/keeping.h
@@ -27,6 +27,8 @@
     bool begin_new(std::uint64_t bytes, Span age) const {
         return bytes >= terms_.file_bytes || age >= terms_.file_age;
     }
+    // Whether a file of this name is one of the gateway's: NAME-LIFE-NUMBER.cft.
+    static bool is_of(const std::string& file, const std::string& gateway);
     // Names of those to remove, the oldest first, so that all keep to the folder's bytes; `open` is never
     // among them. `files` by name, which is by age.
     std::vector<std::string> let_go(const std::vector<Disk::Kept>& files, const std::string& open) const;
--- a/src/trace/recorder.cpp
+++ b/src/trace/recorder.cpp
@@ -119,9 +119,7 @@
     ++files_;
     std::vector<Disk::Kept> mine;
     for (Disk::Kept& f : disk_.list(folder_))
-        if (f.name.rfind(name_ + "-", 0) == 0 && f.name.size() > 4 &&
-            f.name.substr(f.name.size() - 4) == ".cft")
-            mine.push_back(std::move(f));
+        if (Keeping::is_of(f.name, name_)) mine.push_back(std::move(f));
     for (const std::string& old : keeping_.let_go(mine, file_name_)) {
         std::string other;
         disk_.remove(folder_ + "/" + old, other);
--- a/tests/trace/trace_test.cpp
+++ b/tests/trace/trace_test.cpp
@@ -877,6 +877,12 @@
     const std::vector<Disk::Kept> files{{"a", 100}, {"b", 100}, {"c", 100}, {"d", 100}, {"e", 10}};
     assert((k.let_go(files, "e") == std::vector<std::string>{"a"}));
     assert((k.let_go({{"a", 9000}}, "a").empty()));  // never the one that is open
+    for (const char* name : {"g1-18f3a-000001.cft", "g1-0-1000000.cft"}) assert(Keeping::is_of(name, "g1"));
+    for (const char* name :
+         {"g1-b-18f3a-000001.cft", "g1-18f3a-000001.cft.old", "g1-18f3a-1.cft", "g1--000001.cft",
+          "g11-18f3a-000001.cft", "g1-.cft", "g1-18f3a-00000x.cft", ".cft", "g1.cft"})
+        assert(!Keeping::is_of(name, "g1"));
+    assert(Keeping::is_of("g1-b-18f3a-000001.cft", "g1-b"));
     // A dead disk is tried less and less often, and told once.
     Instant now{0};
     assert(k.may_try(now) && k.failed(now) && !k.may_try(now));
