--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -12,6 +12,7 @@
     app.require_subcommand(1);
     Command chosen;
     add_gateway(app, chosen);
+    add_node(app, chosen);
     add_check(app, chosen);
     add_routes(app, chosen);
     add_terms(app, chosen);
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -10,8 +10,8 @@
 
 #include "net/address.h"
 #include "net/loop.h"
+#include "net/stream.h"
 
-struct bufferevent;
 struct evconnlistener;
 
 namespace copperfront {
@@ -21,17 +21,7 @@
     std::size_t unsent_bytes = 4 << 20;  // most that may wait for a peer that does not read
 };
 
-enum class Closing {
-    peer_ended,    // the peer closed in good order
-    broken,        // reset, or another error of the socket
-    not_made,      // dialled, but never connected (nothing was sent)
-    line_too_long  // the peer's line passed the bound
-    ,
-    reader_too_slow  // the peer left more unread than the bound
-};
-const char* text_of(Closing why);
-
-class Link : public Buried {
+class Link : public Buried, private Stream::Owner {
   public:
     class Owner {
       public:
@@ -47,7 +37,7 @@
     static std::unique_ptr<Link> accepted(Loop& loop, int fd, const LinkBounds& bounds, Owner& owner);
     // link_made or link_closed (not_made) follows, never from within this call.
     static std::unique_ptr<Link> dial(Loop& loop, const Address& to, const LinkBounds& bounds, Owner& owner);
-    ~Link() override;
+    ~Link() override { *alive_ = false; }
 
     // Queues a line without its newline. Nothing is sent once the link has been closed; where the bound on
     // what is unsent is passed, the link closes.
@@ -61,20 +51,17 @@
     void pause_reading(bool pause);
 
   private:
-    Link(Loop& loop, const LinkBounds& bounds, Owner& owner);
-    static void readable(bufferevent*, void* self);
-    static void drained(bufferevent*, void* self);
-    static void happened(bufferevent*, short what, void* self);
-    void read_lines();
-    void close(Closing why, std::string what);
+    Link(const LinkBounds& bounds, Owner& owner);
+    void stream_made(Stream&) override { owner_->link_made(*this); }
+    void bytes_came(Stream&) override;
+    void stream_closed(Stream&, Closing why, const std::string& what) override;
+    void close(Closing why, const std::string& what);
 
-    Loop& loop_;
     LinkBounds bounds_;
     Owner* owner_;
-    bufferevent* events_ = nullptr;
+    std::unique_ptr<Stream> stream_;
     std::size_t scanned_ = 0;
-    bool made_ = false, closed_ = false, flushing_ = false;
-    std::unique_ptr<Timer> last_words_;
+    bool closed_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -39,6 +39,7 @@
     // Kept until it is buried by its address, or until the loop ends: for what has no other owner any more.
     void adopt(std::unique_ptr<Buried> what);
     void bury(Buried* adopted);
+    std::size_t adopted() const { return adopted_.size(); }
     void on_signal(int signal, std::function<void()> what);
 
     event_base* base() const { return base_; }
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,228 @@
+#include "net/stream.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+#include <new>
+
+namespace copperfront {
+namespace {
+
+constexpr Span kLastWords{1000000};  // for a peer to take what is queued at a close
+// Most that is read and dropped of a peer that is told to go; past it the close is not waited for.
+constexpr std::size_t kMostDropped = 4 << 20;
+
+void no_delay(int fd) {
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+}  // namespace
+
+const char* text_of(Closing why) {
+    switch (why) {
+        case Closing::peer_ended:
+            return "closed by the peer";
+        case Closing::broken:
+            return "broken";
+        case Closing::not_made:
+            return "not made";
+        case Closing::line_too_long:
+            return "line too long";
+        case Closing::reader_too_slow:
+            return "peer reads too slowly";
+    }
+    return "";
+}
+
+Stream::Stream(Loop& loop, const Bounds& bounds, Owner& owner)
+    : loop_(loop), bounds_(bounds), owner_(&owner) {}
+
+Stream::~Stream() {
+    *alive_ = false;
+    if (events_) bufferevent_free(events_);
+}
+
+void Stream::set_callbacks() {
+    bufferevent_setcb(events_, readable, drained, happened, this);
+    if (bounds_.held_bytes > 0) bufferevent_setwatermark(events_, EV_READ, 0, bounds_.held_bytes);
+}
+
+std::unique_ptr<Stream> Stream::accepted(Loop& loop, int fd, const Bounds& bounds, Owner& owner) {
+    std::unique_ptr<Stream> stream(new Stream(loop, bounds, owner));
+    no_delay(fd);
+    stream->events_ = bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE);
+    if (!stream->events_) throw std::bad_alloc();
+    stream->made_ = true;
+    stream->set_callbacks();
+    bufferevent_enable(stream->events_, EV_READ | EV_WRITE);
+    return stream;
+}
+
+std::unique_ptr<Stream> Stream::dial(Loop& loop, const Address& to, const Bounds& bounds, Owner& owner) {
+    std::unique_ptr<Stream> stream(new Stream(loop, bounds, owner));
+    sockaddr_storage raw{};
+    const int length = to.fill(&raw);
+    stream->events_ =
+        bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    if (!stream->events_) throw std::bad_alloc();
+    stream->set_callbacks();
+    if (bufferevent_socket_connect(stream->events_, reinterpret_cast<sockaddr*>(&raw), length) != 0) {
+        const std::string what = std::strerror(errno);
+        Stream* mine = stream.get();
+        loop.post([mine, what, alive = stream->alive_] {
+            if (*alive) mine->close(Closing::not_made, what);
+        });
+    }
+    return stream;
+}
+
+std::size_t Stream::held() const { return evbuffer_get_length(bufferevent_get_input(events_)); }
+
+std::string_view Stream::front() const {
+    evbuffer_iovec piece{};
+    if (evbuffer_peek(bufferevent_get_input(events_), -1, nullptr, &piece, 1) < 1) return {};
+    return {static_cast<const char*>(piece.iov_base), piece.iov_len};
+}
+
+std::string_view Stream::pull(std::size_t n) {
+    const auto* data = evbuffer_pullup(bufferevent_get_input(events_), static_cast<ev_ssize_t>(n));
+    return data ? std::string_view(reinterpret_cast<const char*>(data), n) : std::string_view();
+}
+
+std::ptrdiff_t Stream::find(char c, std::size_t from) const {
+    evbuffer* in = bufferevent_get_input(events_);
+    evbuffer_ptr start;
+    if (from >= evbuffer_get_length(in) || evbuffer_ptr_set(in, &start, from, EVBUFFER_PTR_SET) != 0)
+        return -1;
+    return evbuffer_search(in, &c, 1, &start).pos;
+}
+
+void Stream::drain(std::size_t n) { evbuffer_drain(bufferevent_get_input(events_), n); }
+
+void Stream::send(std::string_view bytes) {
+    if (closed_ || flushing_ || !owner_) return;
+    evbuffer* out = bufferevent_get_output(events_);
+    evbuffer_add(out, bytes.data(), bytes.size());
+    if (bounds_.unsent_bytes == 0 || evbuffer_get_length(out) <= bounds_.unsent_bytes) return;
+    // The owner is told later: it may be in the middle of whatever made it send.
+    closed_ = true;
+    loop_.post([this, alive = alive_] {
+        if (!*alive || !owner_) return;
+        closed_ = false;
+        close(Closing::reader_too_slow,
+              "more than " + std::to_string(bounds_.unsent_bytes) + " bytes wait for the peer to read");
+    });
+}
+
+std::size_t Stream::unsent() const { return evbuffer_get_length(bufferevent_get_output(events_)); }
+
+void Stream::pause_reading(bool pause) {
+    if (pause)
+        bufferevent_disable(events_, EV_READ);
+    else
+        bufferevent_enable(events_, EV_READ);
+}
+
+void Stream::end_sending() {
+    end_wanted_ = true;
+    if (unsent() == 0 && made_) shutdown(bufferevent_getfd(events_), SHUT_WR);
+}
+
+void Stream::hand_off(Loop& loop, std::unique_ptr<Stream> stream, bool flush) {
+    if (!stream) return;
+    stream->owner_ = nullptr;
+    if (!flush || stream->closed_ || !stream->made_ || stream->unsent() == 0) {
+        loop.bury(std::move(stream));
+        return;
+    }
+    // It now lives on its own until the peer has taken the rest, or a second has passed.
+    Stream* rest = stream.get();
+    loop.adopt(std::move(stream));
+    rest->flushing_ = true;
+    bufferevent_disable(rest->events_, EV_READ);
+    rest->last_words_ = std::make_unique<Timer>(loop, [rest, &loop] { loop.bury(rest); });
+    rest->last_words_->set(kLastWords);
+}
+
+void Stream::hand_off_politely(Loop& loop, std::unique_ptr<Stream> stream) {
+    if (!stream) return;
+    stream->owner_ = nullptr;
+    if (stream->closed_ || !stream->made_) {
+        loop.bury(std::move(stream));
+        return;
+    }
+    Stream* rest = stream.get();
+    loop.adopt(std::move(stream));
+    rest->flushing_ = rest->polite_ = true;
+    rest->last_words_ = std::make_unique<Timer>(loop, [rest, &loop] { loop.bury(rest); });
+    rest->last_words_->set(kLastWords);
+    rest->drain(rest->held());
+    bufferevent_enable(rest->events_, EV_READ);
+    rest->end_sending();
+}
+
+void Stream::reset(Loop& loop, std::unique_ptr<Stream> stream) {
+    if (!stream) return;
+    stream->owner_ = nullptr;
+    const linger now{1, 0};
+    if (const int fd = bufferevent_getfd(stream->events_); fd >= 0)
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    loop.bury(std::move(stream));
+}
+
+void Stream::drained(bufferevent*, void* self) {
+    Stream& stream = *static_cast<Stream*>(self);
+    if (stream.end_wanted_) stream.end_sending();
+    if (stream.flushing_) {
+        if (!stream.polite_) stream.last_words_->set(Span{0});
+        return;
+    }
+    if (stream.owner_ && !stream.closed_) stream.owner_->all_sent(stream);
+}
+
+void Stream::readable(bufferevent*, void* self) {
+    Stream& stream = *static_cast<Stream*>(self);
+    if (stream.flushing_) {
+        stream.dropped_ += stream.held();
+        stream.drain(stream.held());
+        if (stream.dropped_ > kMostDropped) stream.last_words_->set(Span{0});
+        return;
+    }
+    if (stream.owner_ && !stream.closed_) stream.owner_->bytes_came(stream);
+}
+
+void Stream::happened(bufferevent*, short what, void* self) {
+    Stream& stream = *static_cast<Stream*>(self);
+    if (stream.flushing_) {
+        stream.last_words_->set(Span{0});
+        return;
+    }
+    if (stream.closed_ || !stream.owner_) return;
+    if (what & BEV_EVENT_CONNECTED) {
+        stream.made_ = true;
+        no_delay(bufferevent_getfd(stream.events_));
+        bufferevent_enable(stream.events_, EV_READ | EV_WRITE);
+        stream.owner_->stream_made(stream);
+        return;
+    }
+    const std::string error = std::strerror(EVUTIL_SOCKET_ERROR());
+    if (!stream.made_) return stream.close(Closing::not_made, error);
+    if (what & BEV_EVENT_EOF) return stream.close(Closing::peer_ended, "the peer closed the connection");
+    stream.close(Closing::broken, error);
+}
+
+void Stream::close(Closing why, std::string what) {
+    if (closed_ || !owner_) return;
+    closed_ = true;
+    bufferevent_disable(events_, EV_READ);
+    owner_->stream_closed(*this, why, what);
+}
+
+}  // namespace copperfront
--- /dev/null
+++ b/src/net/stream.h
@@ -0,0 +1,96 @@
+// A connection of bytes: what lines and HTTP both stand on. Bounds are kept here: a peer that never reads, or
+// sends more than is taken, costs no more than was allowed.
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "net/address.h"
+#include "net/loop.h"
+
+struct bufferevent;
+
+namespace copperfront {
+
+enum class Closing {
+    peer_ended,      // the peer closed in good order
+    broken,          // reset, or another error of the socket
+    not_made,        // dialled, but never connected (nothing was sent)
+    line_too_long,   // the peer's line passed the bound
+    reader_too_slow  // the peer left more unread than the bound
+};
+const char* text_of(Closing why);
+
+class Stream : public Buried {
+  public:
+    class Owner {
+      public:
+        virtual ~Owner() = default;
+        // After a dial only.
+        virtual void stream_made(Stream&) {}
+        // More bytes are held. The owner takes what it can with front() and drain(), or pull(), and may bury
+        // the stream within the call.
+        virtual void bytes_came(Stream&) = 0;
+        // All that was queued has been written out.
+        virtual void all_sent(Stream&) {}
+        // Once, and nothing after it. `what` is a plain reason. Never from within send().
+        virtual void stream_closed(Stream&, Closing why, const std::string& what) = 0;
+    };
+
+    // `unsent_bytes`: the most that may wait for a peer that does not read; `held_bytes`: past it no more is
+    // read before some is taken; 0: no such bound.
+    struct Bounds {
+        std::size_t unsent_bytes = 4 << 20, held_bytes = 0;
+    };
+
+    static std::unique_ptr<Stream> accepted(Loop& loop, int fd, const Bounds& bounds, Owner& owner);
+    // stream_made or stream_closed (not_made) follows, never from within this call.
+    static std::unique_ptr<Stream> dial(Loop& loop, const Address& to, const Bounds& bounds, Owner& owner);
+    ~Stream() override;
+
+    std::size_t held() const;
+    std::string_view front() const;        // the first bytes that lie in one piece
+    std::string_view pull(std::size_t n);  // the first n, put into one piece
+    // Of the first such byte at or after `from`; -1: there is none.
+    std::ptrdiff_t find(char c, std::size_t from) const;
+    void drain(std::size_t n);
+
+    // Nothing is sent once the stream has been closed; where the bound on what is unsent is passed, it
+    // closes.
+    void send(std::string_view bytes);
+    std::size_t unsent() const;
+    bool made() const { return made_; }
+    void pause_reading(bool pause);
+    // Sends an end after what is queued; reading goes on.
+    void end_sending();
+
+    // Stops all calls to the owner, writes out what is queued if `flush` and the peer takes it within a
+    // second, and closes.
+    static void hand_off(Loop& loop, std::unique_ptr<Stream> stream, bool flush);
+    // The same, but the peer is given a second to see the end before the connection closes: what it still
+    // sends is read and dropped, as a close on unread bytes would be a reset that can eat the last answer.
+    static void hand_off_politely(Loop& loop, std::unique_ptr<Stream> stream);
+    // Resets the connection (no orderly end): what a peer sees when a process dies.
+    static void reset(Loop& loop, std::unique_ptr<Stream> stream);
+
+  private:
+    Stream(Loop& loop, const Bounds& bounds, Owner& owner);
+    static void readable(bufferevent*, void* self);
+    static void drained(bufferevent*, void* self);
+    static void happened(bufferevent*, short what, void* self);
+    void close(Closing why, std::string what);
+    void set_callbacks();
+
+    Loop& loop_;
+    Bounds bounds_;
+    Owner* owner_;
+    bufferevent* events_ = nullptr;
+    bool made_ = false, closed_ = false, flushing_ = false, polite_ = false, end_wanted_ = false;
+    std::size_t dropped_ = 0;
+    std::unique_ptr<Timer> last_words_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace copperfront
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,389 @@
+#include "node/node.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace copperfront {
+namespace {
+
+// Without a figure of its own, what a process may usually have open.
+constexpr std::size_t kUsualSockets = 1024;
+constexpr double kUsualMemoryMb = 256;
+// Kept for listeners, discovery, the loop's own and connections that are about to close.
+constexpr std::size_t kAside = 24, kAsideShare = 16;
+constexpr double kFrontsPart = 0.48;
+constexpr std::size_t kReleaseLines = 8;  // connections kept for releases
+constexpr double kBodiesPart = 0.125;     // of the memory
+constexpr double kIdlePart = 0.7;         // of the time after which a server closes an idle connection
+constexpr Span kUsualIdle{10000000};
+// The platform takes a client that is left waiting for 5 s after a server's last event as lost.
+constexpr Span kLongestGap{4600000};
+constexpr Span kStillTaking{700000};  // after SIGTERM
+constexpr Span kLookForEnd{20000}, kLastWords{100000};
+
+struct Sizes {
+    std::size_t fronts, servers;
+};
+
+Sizes sizes_of(const platform::NodeTerms& terms) {
+    const std::size_t sockets = std::max<std::size_t>(terms.sockets > 0 ? terms.sockets : kUsualSockets, 64);
+    const std::size_t free = sockets - std::min(sockets / 2, kAside + sockets / kAsideShare);
+    const auto fronts = static_cast<std::size_t>(static_cast<double>(free) * kFrontsPart);
+    return {fronts, free - fronts};
+}
+
+Fronts::Bounds front_bounds(const platform::NodeTerms& terms) {
+    Fronts::Bounds bounds;
+    bounds.connections = sizes_of(terms).fronts;
+    const double mb = terms.memory_mb > 0 ? terms.memory_mb : kUsualMemoryMb;
+    bounds.body_bytes = static_cast<std::size_t>(mb * kBodiesPart * (1 << 20));
+    return bounds;
+}
+
+Span idle_of(const platform::NodeTerms& terms) {
+    return terms.links.idle.us > 0 ? terms.links.idle * kIdlePart : kUsualIdle;
+}
+
+Servers::Bounds server_bounds(const platform::NodeTerms& terms) {
+    Servers::Bounds bounds;
+    bounds.connections = sizes_of(terms).servers;
+    bounds.idle = idle_of(terms);
+    bounds.release_within = terms.core.release_within;
+    return bounds;
+}
+
+}  // namespace
+
+Node::Node(Loop& loop, platform::NodeTerms terms, Log& log)
+    : loop_(loop),
+      terms_(std::move(terms)),
+      log_(log),
+      zones_(terms_.named.zones),
+      wake_(loop, [this] { desk_->time_came(); }),
+      stop_timer_(loop, [this] { look_for_end(); }) {
+    const Sizes sizes = sizes_of(terms_);
+    most_open_ = sizes.servers - std::min(sizes.servers / 2, kReleaseLines);
+    fronts_ = std::make_unique<Fronts>(loop, front_bounds(terms_), static_cast<Fronts::Owner&>(*this));
+    servers_ = std::make_unique<Servers>(loop, server_bounds(terms_), static_cast<Servers::Owner&>(*this));
+    discovery_ = std::make_unique<Discovery>(
+        loop, [this](const platform::News& news) { list_told(news); }, [this] { desk_->list_missed(); }, log);
+    Outside& outside = *this;
+    desk_ = std::make_unique<Desk>(terms_.core, outside, terms_.seed);
+    desk_->limits_changed(std::vector<RouteLimits>{limits()}, terms_.core.gateways);
+    platform::News known = terms_.known;
+    known.whole = true;
+    list_told(known);
+    discovery_->follow(terms_.discovery);
+    listener_ = std::make_unique<Listener>(loop, Address::parse(terms_.listen),
+                                           [this](int fd) { fronts_->came(fd); });
+    listener_->on_trouble = [this](const std::string& what) {
+        log_.say(Weight::warn, "fronts", "cannot accept connections for a moment", {{"error", what}});
+    };
+    log_.say(Weight::info, "node", "started",
+             {{"node", terms_.name},
+              {"address", address().text()},
+              {"servers", static_cast<std::int64_t>(index_of_name_.size())},
+              {"client_connections", static_cast<std::int64_t>(sizes.fronts)},
+              {"server_connections", static_cast<std::int64_t>(sizes.servers)}});
+}
+
+Node::~Node() = default;
+
+RouteLimits Node::limits() const {
+    RouteLimits limits;
+    limits.connect = terms_.links.connect_within;
+    limits.gap = kLongestGap;
+    return limits;
+}
+
+void Node::change(platform::NodeTerms terms) {
+    if (const std::string wrong = platform::stands_against(terms_, terms); !wrong.empty()) {
+        log_.say(Weight::error, "node", "new terms are refused; the old ones stay", {{"error", wrong}});
+        return;
+    }
+    // The list in hand is newer than any that a file could tell.
+    terms_ = std::move(terms);
+    servers_->change(idle_of(terms_), terms_.core.release_within);
+    desk_->terms_changed(terms_.core, std::vector<RouteLimits>{limits()});
+    if (!stopping_) discovery_->follow(terms_.discovery);
+    log_.say(Weight::info, "node", "new terms hold", {{"discovery", terms_.discovery}});
+}
+
+// ---- from clients
+
+void Node::asked(ClientId client, const http::Head& head, std::string body) {
+    const std::string_view path = platform::path_of(head.target);
+    if (path == platform::kReadyPath || path == platform::kLivePath) {
+        if (head.method != "GET") return fronts_->answer(client, 405, "Allow: GET\r\n", "expected GET");
+        const bool ready = path == platform::kLivePath || (!stopping_ && !index_of_name_.empty());
+        return fronts_->answer(client, ready ? 200 : 503, "", ready ? "ready" : "not ready");
+    }
+    if (path != platform::kCallPath) return fronts_->answer(client, 404, "", "no such path");
+    if (head.method != "POST") return fronts_->answer(client, 405, "Allow: POST\r\n", "expected POST");
+    platform::Call call;
+    if (const std::string wrong = platform::read_call(head, body, terms_.named, call); !wrong.empty())
+        return fronts_->answer(client, 400, "", wrong);
+    // Against an id of another's open query: that one is left alone.
+    if (by_id_.count(call.id)) return fronts_->answer(client, 409, "", "a call with this id is open");
+    if (desk_->open_queries() >= most_open_)
+        return fronts_->answer(client, 503, "", "too many calls in hand");
+    const QueryIndex query = desk_->open();
+    if (query >= open_.size()) open_.resize(query + 1);
+    Open& open = open_[query];
+    open = Open{};
+    open.client = client;
+    open.id = call.id;
+    open.method = head.method;
+    open.target = head.target;
+    open.body = std::move(body);
+    if (const std::string* type = head.find("Content-Type")) open.content_type = *type;
+    open.used = true;
+    by_id_[open.id] = query;
+    by_client_[client] = query;
+    desk_->query_came(query, call.facts, 0, limits(), call.again);
+}
+
+void Node::left(ClientId client) {
+    const auto it = by_client_.find(client);
+    if (it == by_client_.end()) return;
+    const QueryIndex query = it->second;
+    by_client_.erase(it);
+    by_id_.erase(open_[query].id);
+    desk_->query_left(query);
+}
+
+void Node::may_go_on(ClientId client) {
+    const auto it = by_client_.find(client);
+    if (it != by_client_.end()) servers_->hold_back(open_[it->second].bound, false);
+}
+
+// ---- to clients
+
+Node::Open& Node::answered(QueryIndex query) {
+    Open& open = open_[query];
+    by_id_.erase(open.id);
+    by_client_.erase(open.client);
+    return open;
+}
+
+void Node::settled(QueryIndex query) { fronts_->end_stream(answered(query).client); }
+
+void Node::declined(QueryIndex query, Span stay_away, std::string_view why) {
+    char more[64] = "";
+    if (stay_away.us > 0) std::snprintf(more, sizeof more, "Retry-After: %.3f\r\n", stay_away.ms() / 1000);
+    fronts_->answer(answered(query).client, 503, more, why);
+}
+
+void Node::given_up(QueryIndex query, std::string_view why) {
+    const Open& open = answered(query);
+    if (open.streams)
+        fronts_->break_off(open.client);
+    else
+        fronts_->answer(open.client, 504, "", why);
+}
+
+void Node::closed(QueryIndex query) {
+    for (const LaunchId launch : open_[query].launches) of_launch_.erase(launch);
+    open_[query] = Open{};
+}
+
+// ---- to servers
+
+void Node::send(LaunchId launch, ServerIndex to, QueryIndex query, Span limit, bool reading) {
+    Open& open = open_[query];
+    open.launches.push_back(launch);
+    ++open.out;
+    of_launch_[launch] = query;
+    std::string message;
+    message.reserve(open.body.size() + 512);
+    message.append(open.method).append(" ").append(open.target).append(" HTTP/1.1\r\nHost: app.svc\r\n");
+    if (!open.content_type.empty()) message.append("Content-Type: ").append(open.content_type).append("\r\n");
+    message.append(platform::kIdHeader).append(": ").append(open.id).append("\r\n");
+    message.append(platform::kLeftHeader)
+        .append(": ")
+        .append(std::to_string(std::max<std::int64_t>(1, limit.us / 1000)));
+    message.append("\r\nContent-Length: ").append(std::to_string(open.body.size())).append("\r\n\r\n");
+    message.append(open.body);
+    servers_->send(to, launch, std::move(message), reading);
+}
+
+void Node::send_read(LaunchId launch, ServerIndex to, QueryIndex query, Span limit) {
+    send(launch, to, query, limit, true);
+}
+
+void Node::send_write(LaunchId launch, ServerIndex to, QueryIndex query, LaunchId, ServerIndex, Span limit) {
+    send(launch, to, query, limit, false);
+}
+
+void Node::no_longer_out(LaunchId launch) {
+    const auto it = of_launch_.find(launch);
+    if (it != of_launch_.end() && open_[it->second].out > 0) --open_[it->second].out;
+}
+
+void Node::call_off(LaunchId launch, ServerIndex) {
+    no_longer_out(launch);
+    servers_->call_off(launch);
+}
+
+bool Node::unsend(LaunchId launch, ServerIndex) {
+    if (!servers_->unsend(launch)) return false;
+    no_longer_out(launch);
+    return true;
+}
+
+void Node::release(ServerIndex at, LaunchId state) {
+    const auto it = of_launch_.find(state);
+    if (it == of_launch_.end()) return;
+    Open& open = open_[it->second];
+    const bool held = open.state == state;
+    if (held) open.state = 0;
+    servers_->release(at, open.id, !held);
+}
+
+bool Node::is_wanted(const std::string& id) const {
+    const auto it = by_id_.find(id);
+    return it != by_id_.end() && (open_[it->second].out > 0 || open_[it->second].state != 0);
+}
+
+// ---- from servers
+
+void Node::launch_over(LaunchId launch, const Outcome& outcome) {
+    const auto it = of_launch_.find(launch);
+    if (it != of_launch_.end()) {
+        Open& open = open_[it->second];
+        if (open.out > 0) --open.out;
+        if (outcome.ending == Ending::read) open.state = launch;
+    }
+    desk_->launch_ended(launch, outcome);
+}
+
+void Node::events_came(LaunchId launch, std::string_view events, std::size_t) {
+    QueryIndex query = 0;
+    if (!desk_->token_came(launch, query)) return;
+    Open& open = open_[query];
+    if (!open.streams) {
+        open.streams = true;
+        open.bound = launch;
+        open.state = 0;
+        // Nothing is sent for it any more.
+        open.body = {};
+        fronts_->begin_stream(open.client);
+    }
+    if (!fronts_->pass_on(open.client, events)) servers_->hold_back(launch, true);
+}
+
+// ---- the list
+
+// A name that is new takes the index of a server that has gone and owes nothing, so that a fleet that is
+// replaced all day long costs no more than its size.
+ServerIndex Node::index_of(const platform::Entry& entry) {
+    const auto it = index_of_name_.find(entry.name);
+    if (it != index_of_name_.end()) return it->second;
+    ServerIndex index = static_cast<ServerIndex>(known_.size());
+    for (ServerIndex s = 0; s < known_.size(); ++s) {
+        // Another start is what tells the rules that it is another server.
+        if (!known_[s].gone || known_[s].born == entry.born || !servers_->is_idle(s)) continue;
+        index = s;
+        index_of_name_.erase(known_[s].name);
+        break;
+    }
+    if (index == known_.size()) known_.emplace_back();
+    known_[index].name = entry.name;
+    index_of_name_[entry.name] = index;
+    return index;
+}
+
+void Node::list_told(const platform::News& news) {
+    std::vector<Listing> listings;
+    std::vector<bool> named(known_.size(), false);
+    for (const platform::Entry& e : news.entries) {
+        const auto known = index_of_name_.find(e.name);
+        Listing l;
+        if (e.standing == Standing::gone) {
+            if (known == index_of_name_.end()) continue;
+            l = known_[known->second].listing;
+        } else {
+            const std::uint32_t* kind = terms_.named.kinds.find(e.kind);
+            try {
+                if (!kind) throw NetTrouble("unknown type " + e.kind);
+                Address::parse(e.address);
+            } catch (const NetTrouble& bad) {
+                log_.say(Weight::error, "discovery", "an entry of the list cannot be used; it is passed over",
+                         {{"server", e.name}, {"error", bad.what()}});
+                continue;
+            }
+            l.server = index_of(e);
+            l.mark = mark(e.name);
+            l.kind = static_cast<std::uint16_t>(*kind);
+            l.zone = static_cast<std::uint16_t>(zones_.index(e.zone));
+            l.cell = cells_.index(e.cell);
+            l.born = e.born;
+        }
+        l.standing = e.standing;
+        Known& mine = known_[l.server];
+        mine.listing = l;
+        mine.born = l.born;
+        mine.gone = l.standing == Standing::gone;
+        if (l.server < named.size()) named[l.server] = true;
+        if (mine.gone) {
+            servers_->gone(l.server);
+        } else {
+            servers_->learn(l.server, e.address, e.born);
+            if (l.standing == Standing::draining) servers_->shun(l.server);
+        }
+        listings.push_back(l);
+    }
+    for (ServerIndex s = 0; news.whole && s < named.size(); ++s) {
+        if (named[s] || known_[s].gone) continue;
+        known_[s].gone = true;
+        servers_->gone(s);
+    }
+    desk_->list_arrived(listings, news.whole);
+}
+
+void Node::log(std::string_view line) {
+    if (log_.writes(Weight::debug)) log_.say(Weight::debug, "rules", line);
+}
+
+// ---- the end
+
+void Node::stop() {
+    if (stopping_) return;
+    stopping_ = true;
+    stop_asked_ = loop_.now();
+    log_.say(Weight::info, "node", "stops; lets open queries end",
+             {{"queries", static_cast<std::int64_t>(desk_->open_queries())}});
+    fronts_->wind_up();
+    look_for_end();
+}
+
+void Node::look_for_end() {
+    if (ended_) return loop_.stop();
+    if (loop_.now() - stop_asked_ < kStillTaking) return stop_timer_.set(kLookForEnd);
+    if (listener_) {
+        listener_.reset();
+        fronts_->close_unasked();
+    }
+    if (desk_->open_queries() > 0 || desk_->launches_out() > 0 || servers_->owed() > 0 ||
+        (fronts_->size() > 0 && loop_.now() - stop_asked_ < kStillTaking * 4))
+        return stop_timer_.set(kLookForEnd);
+    discovery_->stop();
+    fronts_->close_all();
+    const Tally& t = desk_->tally();
+    const Servers::Counts& c = servers_->counts();
+    log_.say(Weight::info, "node", "stopped",
+             {{"came", static_cast<std::int64_t>(t.came)},
+              {"settled", static_cast<std::int64_t>(t.settled)},
+              {"declined", static_cast<std::int64_t>(t.declined)},
+              {"given_up", static_cast<std::int64_t>(t.given_up)},
+              {"left", static_cast<std::int64_t>(t.left)},
+              {"connections_made", static_cast<std::int64_t>(c.made)},
+              {"connections_reused", static_cast<std::int64_t>(c.reused)},
+              {"releases", static_cast<std::int64_t>(c.releases)},
+              {"releases_again", static_cast<std::int64_t>(c.releases_again)},
+              {"releases_lost", static_cast<std::int64_t>(c.releases_lost)}});
+    ended_ = true;
+    stop_timer_.set(kLastWords);
+}
+
+}  // namespace copperfront
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,108 @@
+// The gateway on the platform: joins clients, model servers and discovery to the desk, and so to the module
+// that decides. What happens on the sockets becomes a call; what the desk does becomes bytes. No decision is
+// taken here.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "desk/desk.h"
+#include "logging/log.h"
+#include "net/link.h"
+#include "node/discovery.h"
+#include "node/fronts.h"
+#include "node/servers.h"
+#include "platform/call.h"
+#include "platform/node_terms.h"
+
+namespace copperfront {
+
+class Node : private Outside, private Fronts::Owner, private Servers::Owner {
+  public:
+    // Listens at once; throws NetTrouble where it cannot.
+    Node(Loop& loop, platform::NodeTerms terms, Log& log);
+    ~Node() override;
+
+    Address address() const { return listener_->address(); }
+    // Other terms, as a whole or not at all.
+    void change(platform::NodeTerms terms);
+    // Takes what still comes for a moment, lets what is open end, sends what it owes, and then stops the
+    // loop.
+    void stop();
+    const Desk& desk() const { return *desk_; }
+    const Servers& servers() const { return *servers_; }
+    const Fronts& fronts() const { return *fronts_; }
+
+  private:
+    struct Open {
+        ClientId client = 0;
+        std::string id, method, target, body, content_type;
+        bool used = false, streams = false;
+        std::uint32_t out = 0;  // launches that are
+        LaunchId state = 0;     // a read that ended well, whose state nobody has taken yet
+        LaunchId bound = 0;     // the launch whose stream the client gets
+        std::vector<LaunchId> launches;
+    };
+
+    Instant now() const override { return loop_.now(); }
+    void wake_at(Instant at) override { wake_.set(at - loop_.now()); }
+    void send_read(LaunchId launch, ServerIndex to, QueryIndex query, Span limit) override;
+    void send_write(LaunchId launch, ServerIndex to, QueryIndex query, LaunchId state, ServerIndex from,
+                    Span limit) override;
+    void call_off(LaunchId launch, ServerIndex at) override;
+    bool unsend(LaunchId launch, ServerIndex at) override;
+    void release(ServerIndex at, LaunchId state) override;
+    void probe(ServerIndex) override {}
+    void subscribe() override {}
+    void settled(QueryIndex query) override;
+    void declined(QueryIndex query, Span stay_away, std::string_view why) override;
+    void given_up(QueryIndex query, std::string_view why) override;
+    void closed(QueryIndex query) override;
+    void log(std::string_view line) override;
+
+    void asked(ClientId client, const http::Head& head, std::string body) override;
+    void left(ClientId client) override;
+    void may_go_on(ClientId client) override;
+
+    void launch_over(LaunchId launch, const Outcome& outcome) override;
+    void events_came(LaunchId launch, std::string_view events, std::size_t count) override;
+    bool is_wanted(const std::string& id) const override;
+
+    void list_told(const platform::News& news);
+    ServerIndex index_of(const platform::Entry& entry);
+    void send(LaunchId launch, ServerIndex to, QueryIndex query, Span limit, bool reading);
+    void no_longer_out(LaunchId launch);
+    Open& answered(QueryIndex query);
+    void look_for_end();
+    RouteLimits limits() const;
+
+    Loop& loop_;
+    platform::NodeTerms terms_;
+    Log& log_;
+    std::size_t most_open_ = 0;
+    std::vector<Open> open_;  // by query
+    std::unordered_map<std::string, QueryIndex> by_id_;
+    std::unordered_map<ClientId, QueryIndex> by_client_;
+    std::unordered_map<LaunchId, QueryIndex> of_launch_;  // until the query is closed
+    struct Known {
+        std::string name;
+        Instant born;
+        Listing listing;
+        bool gone = false;
+    };
+    std::vector<Known> known_;  // by server
+    std::unordered_map<std::string, ServerIndex> index_of_name_;
+    Names zones_, cells_;
+    bool stopping_ = false, ended_ = false;
+    Instant stop_asked_;
+    std::unique_ptr<Listener> listener_;
+    std::unique_ptr<Fronts> fronts_;
+    std::unique_ptr<Servers> servers_;
+    std::unique_ptr<Discovery> discovery_;
+    std::unique_ptr<Desk> desk_;
+    Timer wake_, stop_timer_;
+};
+
+}  // namespace copperfront
--- /dev/null
+++ b/src/node/servers.cpp
@@ -0,0 +1,410 @@
+#include "node/servers.h"
+
+#include <algorithm>
+
+namespace copperfront {
+namespace {
+
+constexpr std::size_t kMostHead = 8192;
+constexpr std::size_t kMostBody = 64 << 10;     // of an answer that is no stream
+constexpr std::size_t kHeldBytes = 64 << 10;    // of a stream whose events wait
+constexpr std::size_t kMostOwed = 10000;        // releases at once
+constexpr std::uint32_t kMostReleaseTries = 8;  // servers that are told
+constexpr int kMostInterim = 100;               // 1xx answers ahead of one
+constexpr Span kLookEvery{50000};
+
+}  // namespace
+
+class Servers::Line : public Stream::Owner {
+  public:
+    enum class Use { none, launch, release };
+
+    Line(Servers& all, ServerIndex server, const Address& to, Instant born)
+        : all_(all), server_(server), born_(born) {
+        stream_ = Stream::dial(all.loop_, to, {0, kHeldBytes}, *this);
+    }
+
+    ServerIndex server() const { return server_; }
+    Instant born() const { return born_; }
+    Use use() const { return use_; }
+    LaunchId launch() const { return launch_; }
+    bool never_sent() const { return !stream_->made() || stream_->unsent() > 0; }
+    bool nothing_sent() const { return !stream_->made(); }
+    Instant rested() const { return rested_; }
+    std::unique_ptr<Stream> take_stream() { return std::move(stream_); }
+
+    void carry(LaunchId launch, std::string message, bool reading) {
+        use_ = Use::launch;
+        launch_ = launch;
+        reading_ = reading;
+        begin(std::move(message));
+    }
+    void carry_release(std::string message) {
+        use_ = Use::release;
+        begin(std::move(message));
+    }
+    void rest() {
+        use_ = Use::none;
+        launch_ = 0;
+        message_.reset();
+        events_.reset();
+        rested_ = all_.loop_.now();
+    }
+    void hold_back(bool hold) {
+        if (std::exchange(held_back_, hold) == hold) return;
+        stream_->pause_reading(hold);
+        if (hold) return;
+        Servers* const all = &all_;
+        all_.loop_.post([all, self = this, launch = launch_] {
+            const auto it = all->out_.find(launch);
+            if (it != all->out_.end() && it->second == self) self->read();
+        });
+    }
+    bool is_reusable() const { return reusable_ && stream_->held() == 0; }
+
+    void stream_made(Stream&) override {
+        if (!first_.empty()) stream_->send(first_);
+        first_ = {};
+    }
+    void bytes_came(Stream&) override { read(); }
+    void stream_closed(Stream&, Closing why, const std::string& what) override {
+        if (use_ == Use::none) return all_.drop(*this, false);
+        const bool unsent = why == Closing::not_made || never_sent();
+        // An answer that only the connection's end ends, such as an error without a length.
+        if (!unsent && message_ && why == Closing::peer_ended && message_->ended()) return answered();
+        all_.lost(*this, unsent, what);
+    }
+
+  private:
+    void begin(std::string message) {
+        interim_ = 0;
+        begun_ = held_back_ = reusable_ = false;
+        body_ = {};
+        if (stream_->made())
+            stream_->send(message);
+        else
+            first_ = std::move(message);
+    }
+
+    void read() {
+        while (stream_ && use_ != Use::none && !held_back_) {
+            const std::string_view bytes = stream_->front();
+            if (bytes.empty()) return;
+            // An answer ahead of its question's end can't be one to it.
+            if (never_sent()) return all_.lost(*this, true, "an answer before the question");
+            if (!message_) {
+                message_ = std::make_unique<http::Message>(
+                    http::Sort::answer, http::Bounds{kMostHead, all_.bounds_.stream_bytes},
+                    [this](std::string_view piece) { piece_.append(piece); });
+                events_.reset();
+            }
+            const std::size_t took = message_->take(bytes);
+            stream_->drain(took);
+            if (!read_on()) return;
+        }
+    }
+
+    // False: nothing more is to be read for this launch.
+    bool read_on() {
+        const http::Head& head = message_->head();
+        const bool bad = message_->trouble() != http::Trouble::none;
+        if (message_->head_done() && !bad && head.status / 100 == 1) {
+            if (!message_->done()) return true;
+            message_.reset();
+            if (head.status == 101 || ++interim_ > kMostInterim) return spoilt("1xx answers without end");
+            return true;
+        }
+        if (message_->head_done() && use_ == Use::launch && platform::begins_stream(head)) {
+            if (!events_) events_ = std::make_unique<platform::Events>();
+            std::string whole;
+            std::size_t count = 0;
+            const bool well = events_->take(piece_, whole, count);
+            piece_ = {};
+            // Nothing has been passed on yet, so the launch may end as if nothing had come.
+            if ((bad || !well) && !begun_) return spoilt(bad ? message_->what() : "no event");
+            if (count > 0) {
+                begun_ = true;
+                const LaunchId launch = launch_;
+                const std::shared_ptr<bool> alive = alive_;
+                all_.owner_.events_came(launch, whole, count);
+                if (!*alive || use_ != Use::launch || launch_ != launch) return false;
+            }
+            if (bad || !well) return spoilt(bad ? message_->what() : "no event");
+            if (message_->done()) {
+                if (!events_->finished()) return spoilt("the stream ends before its last event");
+                answered();
+                return false;
+            }
+            return true;
+        }
+        body_.append(std::exchange(piece_, {}));
+        if (bad) return spoilt(message_->what());
+        if (body_.size() > kMostBody) return spoilt("an answer that does not end");
+        if (!message_->done()) return true;
+        answered();
+        return false;
+    }
+
+    bool spoilt(const std::string& what) {
+        ++all_.counts_.spoilt;
+        all_.lost(*this, false, what);
+        return false;
+    }
+
+    void answered() {
+        const http::Head head = message_->head();
+        reusable_ = message_->done() && head.keeps_open;
+        const bool stream = events_ != nullptr;
+        const std::string body = std::exchange(body_, {});
+        if (use_ == Use::release) return all_.released(*this, true);
+        Outcome outcome;
+        if (stream)
+            outcome.ending = Ending::settled;
+        else
+            outcome = platform::outcome_of(head, body, reading_);
+        all_.ended(*this, outcome);
+    }
+
+    Servers& all_;
+    const ServerIndex server_;
+    const Instant born_;
+    std::unique_ptr<Stream> stream_;
+    Use use_ = Use::none;
+    LaunchId launch_ = 0;
+    std::string first_;  // waits for the connection
+    std::unique_ptr<http::Message> message_;
+    std::unique_ptr<platform::Events> events_;
+    std::string piece_, body_;
+    int interim_ = 0;
+    bool reading_ = false, begun_ = false, held_back_ = false, reusable_ = false;
+    Instant rested_;
+
+  public:
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+Servers::Servers(Loop& loop, const Bounds& bounds, Owner& owner)
+    : loop_(loop), bounds_(bounds), owner_(owner), look_(loop, [this] { look(); }) {
+    look_.set(kLookEvery);
+}
+
+Servers::~Servers() = default;
+
+void Servers::change(Span idle, Span release_within) {
+    bounds_.idle = idle;
+    bounds_.release_within = release_within;
+}
+
+void Servers::learn(ServerIndex server, const std::string& address, Instant born) {
+    if (server >= doors_.size()) doors_.resize(server + 1);
+    Door& door = doors_[server];
+    door.gone = false;
+    if (door.known && door.text == address && door.born == born) return;
+    door.address = Address::parse(address);
+    door.text = address;
+    door.born = born;
+    door.known = true;
+    // Against connections to a process that is no more.
+    while (!door.idle.empty()) drop(*door.idle.back(), false);
+}
+
+void Servers::shun(ServerIndex server) {
+    if (server >= doors_.size()) return;
+    std::vector<Line*> waiting;
+    for (const auto& [launch, line] : out_)
+        if (line->server() == server && line->nothing_sent()) waiting.push_back(line);
+    for (Line* line : waiting) lost(*line, true, "the server takes nothing new");
+}
+
+void Servers::gone(ServerIndex server) {
+    if (server >= doors_.size()) return;
+    shun(server);
+    doors_[server].gone = true;
+    while (!doors_[server].idle.empty()) drop(*doors_[server].idle.back(), false);
+}
+
+bool Servers::is_idle(ServerIndex server) const {
+    return server >= doors_.size() || doors_[server].lines == 0;
+}
+
+// The newest idle one, which is the likeliest to be alive; else a new one.
+Servers::Line* Servers::line_to(ServerIndex server) {
+    Door& door = doors_.at(server);
+    while (!door.idle.empty()) {
+        Line* line = door.idle.back();
+        door.idle.pop_back();
+        if (line->born() == door.born) {
+            ++counts_.reused;
+            return line;
+        }
+        drop(*line, false);
+    }
+    if (lines_.size() >= bounds_.connections) make_room();
+    auto fresh = std::make_unique<Line>(*this, server, door.address, door.born);
+    Line* line = fresh.get();
+    lines_.emplace(line, std::move(fresh));
+    ++door.lines;
+    ++counts_.made;
+    return line;
+}
+
+void Servers::make_room() {
+    Line* oldest = nullptr;
+    for (const Door& door : doors_)
+        if (!door.idle.empty() && (!oldest || door.idle.front()->rested() < oldest->rested()))
+            oldest = door.idle.front();
+    if (oldest) drop(*oldest, false);
+}
+
+void Servers::send(ServerIndex server, LaunchId launch, std::string message, bool reading) {
+    Line* line = line_to(server);
+    out_[launch] = line;
+    line->carry(launch, std::move(message), reading);
+}
+
+void Servers::call_off(LaunchId launch) {
+    const auto it = out_.find(launch);
+    if (it == out_.end()) return;
+    Line& line = *it->second;
+    out_.erase(it);
+    drop(line, false);
+}
+
+bool Servers::unsend(LaunchId launch) {
+    const auto it = out_.find(launch);
+    if (it == out_.end() || !it->second->never_sent()) return false;
+    Line& line = *it->second;
+    out_.erase(it);
+    ++counts_.not_made;
+    drop(line, true);
+    return true;
+}
+
+void Servers::hold_back(LaunchId launch, bool hold) {
+    if (const auto it = out_.find(launch); it != out_.end()) it->second->hold_back(hold);
+}
+
+void Servers::drop(Line& line, bool reset) {
+    const auto held = lines_.find(&line);
+    if (held == lines_.end()) return;
+    Door& door = doors_[line.server()];
+    std::erase(door.idle, &line);
+    --door.lines;
+    // It may be on the call stack, so it goes to the graveyard with its stream.
+    struct Grave : Buried {
+        std::unique_ptr<Line> line;
+    };
+    auto grave = std::make_unique<Grave>();
+    grave->line = std::move(held->second);
+    lines_.erase(held);
+    *line.alive_ = false;
+    if (line.use() == Line::Use::release) released(line, false);
+    if (reset)
+        Stream::reset(loop_, line.take_stream());
+    else
+        Stream::hand_off(loop_, line.take_stream(), false);
+    loop_.bury(std::move(grave));
+}
+
+void Servers::ended(Line& line, const Outcome& outcome) {
+    const LaunchId launch = line.launch();
+    out_.erase(launch);
+    rest(line);
+    owner_.launch_over(launch, outcome);
+}
+
+void Servers::lost(Line& line, bool never_sent, const std::string&) {
+    if (line.use() != Line::Use::launch) return drop(line, false);
+    const LaunchId launch = line.launch();
+    out_.erase(launch);
+    ++(never_sent ? counts_.not_made : counts_.broken);
+    drop(line, never_sent);
+    Outcome outcome;
+    outcome.ending = never_sent ? Ending::unreachable : Ending::broken;
+    loop_.post([this, launch, outcome] { owner_.launch_over(launch, outcome); });
+}
+
+void Servers::rest(Line& line) {
+    Door& door = doors_[line.server()];
+    if (!line.is_reusable() || door.gone || line.born() != door.born) {
+        line.rest();
+        return drop(line, false);
+    }
+    line.rest();
+    door.idle.push_back(&line);
+}
+
+// ---- releases
+
+void Servers::release(ServerIndex server, const std::string& id, bool unsure) {
+    if (releases_.size() >= kMostOwed) return;
+    auto release = std::make_unique<Release>();
+    release->id = id;
+    release->server = server;
+    release->unsure = unsure;
+    release->until = loop_.now() + bounds_.release_within;
+    ++counts_.releases;
+    releases_.push_back(std::move(release));
+    go_on(*releases_.back());
+}
+
+void Servers::go_on(Release& release) {
+    const Instant now = loop_.now();
+    if (release.line || release.dead || now < release.not_before) return;
+    // Against a release that comes late and takes the state of a newer read: nothing is pinned while a launch
+    // is out.
+    if (owner_.is_wanted(release.id)) {
+        release.until = now + bounds_.release_within;
+        return;
+    }
+    if (release.tries >= kMostReleaseTries || now > release.until) {
+        ++counts_.releases_lost;
+        release.dead = true;
+        return;
+    }
+    ServerIndex to = release.server;
+    for (std::size_t n = 0;
+         n < doors_.size() && (to >= doors_.size() || !doors_[to].known || doors_[to].gone); ++n)
+        to = next_other_++ % static_cast<ServerIndex>(doors_.size());
+    if (to >= doors_.size() || !doors_[to].known || doors_[to].gone) {
+        release.dead = true;
+        return;
+    }
+    if (release.tries++ > 0) ++counts_.releases_again;
+    release.since = now;
+    Line* line = line_to(to);
+    release.line = line;
+    line->carry_release("DELETE /bootstrap/rooms/" + release.id + " HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+}
+
+void Servers::released(Line& line, bool well) {
+    Release* mine = nullptr;
+    for (const auto& r : releases_)
+        if (r->line == &line) mine = r.get();
+    if (mine) {
+        mine->line = nullptr;
+        // Against a read that ends well after all, just as its connection closed or broke.
+        mine->dead = well && !std::exchange(mine->unsure, false);
+        if (well && !mine->dead) mine->not_before = loop_.now() + bounds_.release_answer;
+        // Another server is told next.
+        if (!well)
+            mine->server = next_other_++ % static_cast<ServerIndex>(std::max<std::size_t>(1, doors_.size()));
+    }
+    if (well) rest(line);
+}
+
+void Servers::look() {
+    const Instant now = loop_.now();
+    for (std::size_t n = 0; n < releases_.size(); ++n) {
+        Release& r = *releases_[n];
+        if (r.line && now - r.since >= bounds_.release_answer) drop(*r.line, false);
+        if (!r.line) go_on(r);
+    }
+    std::erase_if(releases_, [](const auto& r) { return r->dead; });
+    for (Door& door : doors_)
+        while (!door.idle.empty() && now - door.idle.front()->rested() >= bounds_.idle)
+            drop(*door.idle.front(), false);
+    look_.set(kLookEvery);
+}
+
+}  // namespace copperfront
--- /dev/null
+++ b/src/platform/json.cpp
@@ -0,0 +1,80 @@
+#include "platform/json.h"
+
+#include <cmath>
+
+namespace copperfront::platform {
+
+const Json* field(const Json& object, const char* name) {
+    const auto it = object.find(name);
+    return it == object.end() || it->is_null() ? nullptr : &*it;
+}
+
+const Json& needed(const Json& object, const char* name) {
+    if (const Json* value = field(object, name)) return *value;
+    throw BadInput(std::string("a field is missing: ") + name);
+}
+
+double as_number(const Json& value, const char* name) {
+    if (!value.is_number()) throw BadInput(std::string("not a number: ") + name);
+    return value.get<double>();
+}
+
+double number(const Json& object, const char* name) { return as_number(needed(object, name), name); }
+
+double number_or(const Json& object, const char* name, double absent) {
+    const Json* value = field(object, name);
+    return value ? as_number(*value, name) : absent;
+}
+
+std::uint64_t whole(const Json& object, const char* name) {
+    const Json& value = needed(object, name);
+    if (!value.is_number_integer() || (value.is_number_integer() && !value.is_number_unsigned() && value < 0))
+        throw BadInput(std::string("not a whole number: ") + name);
+    return value.get<std::uint64_t>();
+}
+
+std::string as_text(const Json& value, const char* name) {
+    if (!value.is_string()) throw BadInput(std::string("not a text: ") + name);
+    return value.get<std::string>();
+}
+
+std::string text(const Json& object, const char* name) { return as_text(needed(object, name), name); }
+
+std::string text_or(const Json& object, const char* name, const char* absent) {
+    const Json* value = field(object, name);
+    return value ? as_text(*value, name) : absent;
+}
+
+bool flag(const Json& object, const char* name) {
+    const Json* value = field(object, name);
+    if (!value) return false;
+    if (!value->is_boolean()) throw BadInput(std::string("not true or false: ") + name);
+    return value->get<bool>();
+}
+
+const Json& object_or_empty(const Json& parent, const char* name) {
+    static const Json empty = Json::object();
+    const Json* value = field(parent, name);
+    if (!value) return empty;
+    if (!value->is_object()) throw BadInput(std::string("not an object: ") + name);
+    return *value;
+}
+
+const Json& list_or_empty(const Json& parent, const char* name) {
+    static const Json empty = Json::array();
+    const Json* value = field(parent, name);
+    if (!value) return empty;
+    if (!value->is_array()) throw BadInput(std::string("not a list: ") + name);
+    return *value;
+}
+
+std::int64_t micros(double ms) {
+    if (!(std::abs(ms) < 1e15)) throw BadInput("a time out of bounds");
+    return std::llround(ms * 1000.0);
+}
+
+Span span_or(const Json& object, const char* name, double absent_ms) {
+    return {micros(number_or(object, name, absent_ms))};
+}
+
+}  // namespace copperfront::platform
--- a/src/wirehost/main.cpp
+++ b/src/wirehost/main.cpp
@@ -1,101 +1,22 @@
 // The adapter: reads batches of events from standard input, calls the rules of each gateway, and writes what
 // they did. It holds no decision; ids become small indices here and go back unchanged.
 
-#include <cmath>
 #include <cstdlib>
 #include <iostream>
 #include <map>
 #include <memory>
-#include <nlohmann/json.hpp>
-#include <stdexcept>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "core/rules.h"
 #include "door/names.h"
+#include "platform/settings.h"
 
 namespace copperfront {
 namespace {
 
-using Json = nlohmann::json;
-
-struct BadInput : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
-
-const Json* field(const Json& object, const char* name) {
-    const auto it = object.find(name);
-    return it == object.end() || it->is_null() ? nullptr : &*it;
-}
-
-const Json& needed(const Json& object, const char* name) {
-    if (const Json* value = field(object, name)) return *value;
-    throw BadInput(std::string("a field is missing: ") + name);
-}
-
-double as_number(const Json& value, const char* name) {
-    if (!value.is_number()) throw BadInput(std::string("not a number: ") + name);
-    return value.get<double>();
-}
-
-double number(const Json& object, const char* name) { return as_number(needed(object, name), name); }
-
-double number_or(const Json& object, const char* name, double absent) {
-    const Json* value = field(object, name);
-    return value ? as_number(*value, name) : absent;
-}
-
-std::uint64_t whole(const Json& object, const char* name) {
-    const Json& value = needed(object, name);
-    if (!value.is_number_integer() || (value.is_number_integer() && !value.is_number_unsigned() && value < 0))
-        throw BadInput(std::string("not a whole number: ") + name);
-    return value.get<std::uint64_t>();
-}
-
-std::string as_text(const Json& value, const char* name) {
-    if (!value.is_string()) throw BadInput(std::string("not a text: ") + name);
-    return value.get<std::string>();
-}
-
-std::string text(const Json& object, const char* name) { return as_text(needed(object, name), name); }
-
-std::string text_or(const Json& object, const char* name, const char* absent) {
-    const Json* value = field(object, name);
-    return value ? as_text(*value, name) : absent;
-}
-
-bool flag(const Json& object, const char* name) {
-    const Json* value = field(object, name);
-    if (!value) return false;
-    if (!value->is_boolean()) throw BadInput(std::string("not true or false: ") + name);
-    return value->get<bool>();
-}
-
-const Json& object_or_empty(const Json& parent, const char* name) {
-    static const Json empty = Json::object();
-    const Json* value = field(parent, name);
-    if (!value) return empty;
-    if (!value->is_object()) throw BadInput(std::string("not an object: ") + name);
-    return *value;
-}
-
-const Json& list_or_empty(const Json& parent, const char* name) {
-    static const Json empty = Json::array();
-    const Json* value = field(parent, name);
-    if (!value) return empty;
-    if (!value->is_array()) throw BadInput(std::string("not a list: ") + name);
-    return *value;
-}
-
-std::int64_t micros(double ms) {
-    if (!(std::abs(ms) < 1e15)) throw BadInput("a time out of bounds");
-    return std::llround(ms * 1000.0);
-}
-
-Span span_or(const Json& object, const char* name, double absent_ms) {
-    return {micros(number_or(object, name, absent_ms))};
-}
+using namespace platform;
 
 double wire_ms(Span span) { return static_cast<double>(span.us) / 1000.0; }
 
@@ -111,7 +32,7 @@
         : who_(who), clock_(clock), reply_(reply) {
         const Json& env = needed(event, "env");
         if (!env.is_object()) throw BadInput("not an object: env");
-        const Terms terms = read_terms(env);
+        const Terms terms = read_terms(env, named_);
         rules_ =
             std::make_unique<Rules>(terms, *this, static_cast<std::uint32_t>(whole(event, "random-seed")));
     }
@@ -202,87 +123,6 @@
         return it == index_of_call_.end() ? nullptr : &it->second;
     }
 
-    Terms read_terms(const Json& env) {
-        Terms t;
-        const Json& info = object_or_empty(env, "family-info");
-        const Json& limits = object_or_empty(env, "limits");
-        const Json& safety = object_or_empty(env, "safety");
-        const Json& load = object_or_empty(env, "load-info");
-
-        for (const Json& zone : list_or_empty(env, "azs")) zones_.index(as_text(zone, "azs"));
-        t.zone = static_cast<std::uint16_t>(zones_.index(text_or(env, "zone", "")));
-        t.gateways = std::max(1, static_cast<int>(number_or(env, "balancers", 1)));
-
-        const Json& roles = list_or_empty(info, "role-by-kind");
-        const Json& memory = list_or_empty(info, "tokens-by-kind");
-        for (const Json& model : list_or_empty(env, "models")) {
-            const std::size_t k = kinds_.index(as_text(model, "models"));
-            Kind kind;
-            if (k < roles.size()) {
-                const std::string role = as_text(roles[k], "role-by-kind");
-                if (role != "read" && role != "write" && role != "both")
-                    throw BadInput("unknown role: " + role);
-                kind.role = role == "read" ? Role::reader : role == "write" ? Role::writer : Role::mixed;
-            }
-            if (k < memory.size()) kind.memory_tokens = as_number(memory[k], "tokens-by-kind");
-            t.kinds.push_back(kind);
-        }
-
-        const Json& stretch = list_or_empty(info, "aim-us-per-1000-prompt-tokens");
-        const Json& gaps = list_or_empty(info, "token-aim-ms");
-        for (const Json& profile : list_or_empty(env, "profiles")) {
-            const std::size_t c = categories_.index(text(profile, "name"));
-            Category category;
-            const std::string effect = text_or(profile, "effect", "repeatable");
-            if (effect != "repeatable" && effect != "by_key" && effect != "once")
-                throw BadInput("unknown effect: " + effect);
-            category.effect = effect == "once"     ? Effect::effectful
-                              : effect == "by_key" ? Effect::receipted
-                                                   : Effect::pure;
-            const std::string scope = text_or(profile, "key-scope", "all");
-            if (scope != "all" && scope != "zone" && scope != "cell")
-                throw BadInput("unknown key-scope: " + scope);
-            category.group = scope == "cell" ? Group::cell : scope == "zone" ? Group::zone : Group::all;
-            category.window = span_or(profile, "window-ms", 0);
-            category.latency_goal = {micros(number(profile, "target-ms"))};
-            category.stream = flag(profile, "stream");
-            if (c < stretch.size())
-                category.goal_per_thousand = {micros(as_number(stretch[c], "aim-us") / 1000.0)};
-            if (c < gaps.size()) category.token_gap = {micros(as_number(gaps[c], "token-aim-ms"))};
-            t.categories.push_back(category);
-        }
-
-        for (const Json& realm : list_or_empty(env, "realms")) {
-            groups_.index(text(realm, "name"));
-            t.quotas.push_back(number_or(realm, "quota-per-s", 0));
-        }
-
-        t.cancel = flag(limits, "cancel");
-        t.probes = flag(limits, "probes");
-        t.peers = flag(limits, "peers");
-        t.max_launches = static_cast<std::uint32_t>(std::max(1.0, number_or(limits, "max-attempts", 1)));
-        if (flag(limits, "retry-after")) t.max_stay_away = span_or(limits, "max-retry-after-ms", 0);
-        t.probe_fee = number_or(object_or_empty(env, "fees"), "probe", 0);
-        t.writers_read = flag(info, "writers-read");
-        t.ask_for_list = text_or(env, "discovery", "pushed") == "on_request";
-        const std::string how = text_or(load, "how", "off");
-        if (how != "inline" && how != "on_probe" && how != "off")
-            throw BadInput("unknown load-info.how: " + how);
-        t.reports_by_probe = how == "on_probe";
-        for (const Json& name : list_or_empty(load, "names")) {
-            if (how == "off") break;
-            t.reports_memory |= as_text(name, "names") == "x0";
-            t.reports_unread |= as_text(name, "names") == "x1";
-        }
-        t.quantum = span_or(env, "quantum-ms", 0);
-        t.release_within = span_or(info, "release-ms", 1000);
-        t.start_capacity = number_or(safety, "start-capacity", 1);
-        t.tip_multiple = number_or(safety, "tip-multiple", 1);
-        t.fall = span_or(safety, "fall-ms", 0);
-        t.warm_within = span_or(safety, "warm-within-ms", 0);
-        return t;
-    }
-
     void directory(const Json& event) {
         const std::string how = text(event, "how");
         if (how == "broken") return rules_->list_missed();
@@ -293,8 +133,8 @@
             Listing listing;
             listing.server = servers_.index(text(e, "server"));
             listing.mark = mark(text(e, "server"));
-            listing.kind = static_cast<std::uint16_t>(known(kinds_, text(e, "family-type"), "family-type"));
-            listing.zone = static_cast<std::uint16_t>(zones_.index(text_or(e, "region-part", "")));
+            listing.kind = static_cast<std::uint16_t>(known(named_.kinds, text(e, "family-type"), "family-type"));
+            listing.zone = static_cast<std::uint16_t>(named_.zones.index(text_or(e, "region-part", "")));
             listing.cell = cells_.index(std::to_string(number_or(e, "unit-group", 0)));
             listing.born = {micros(number_or(e, "born-ms", 0))};
             const std::string condition = text(e, "condition");
@@ -312,10 +152,10 @@
         const std::uint64_t id = whole(event, "call");
         if (index_of_call_.count(id)) throw BadInput("a call comes twice: " + std::to_string(id));
         Arrival a;
-        a.category = static_cast<std::uint16_t>(known(categories_, text(event, "priority"), "priority"));
+        a.category = static_cast<std::uint16_t>(known(named_.categories, text(event, "priority"), "priority"));
         if (const Json* group = field(event, "client-group"); group && group->is_string())
             a.client_group =
-                static_cast<std::int32_t>(known(groups_, group->get<std::string>(), "client-group"));
+                static_cast<std::int32_t>(known(named_.groups, group->get<std::string>(), "client-group"));
         else if (group && *group != 0)
             throw BadInput("not a text: client-group");
         a.session = mark(text_or(event, "session-id", ""));
@@ -404,7 +244,8 @@
     std::uint64_t who_;
     Instant clock_;
     std::string& reply_;
-    Names servers_, zones_, cells_, kinds_, categories_, groups_;
+    Names servers_, cells_;
+    Named named_;
     std::vector<Call> calls_;
     std::vector<QueryIndex> free_, ended_;
     std::unordered_map<std::uint64_t, QueryIndex> index_of_call_;
