--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -285,6 +285,11 @@
     changed(name);
 }
 
+void Platform::point(const std::string& name, const std::string& address) {
+    servers_.at(name).address = address;
+    changed(name);
+}
+
 void Platform::kill(const std::string& name) {
     servers_.at(name).listener.reset();
     std::vector<Line*> its;
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -61,6 +61,8 @@
     void add(const std::string& name, Role role, const std::string& zone, int group,
              const std::string& listen = "127.0.0.1:0");
     void set(const std::string& name, const std::string& status);  // up, draining or removed
+    // The list names another address for it, where somebody else may listen.
+    void point(const std::string& name, const std::string& address);
     // The process ends: its connections are reset and new ones refused; as another start under the same name
     // and a new address once it is added again.
     void kill(const std::string& name);
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -1,6 +1,7 @@
 // The gateway on the platform, over loopback against stand-ins of its model servers and its discovery.
 #include "node/node.h"
 
+#include <netinet/in.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -216,6 +217,50 @@
     w.at_rest();
 }
 
+// A machine that is cut off: a connection to it never comes up. Its listener's queue is full, so the system
+// drops what would open another one.
+struct Deaf {
+    int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    std::vector<int> fillers;
+    std::string address;
+
+    Deaf() {
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof at;
+        assert(bind(listener, reinterpret_cast<sockaddr*>(&at), length) == 0 && listen(listener, 0) == 0);
+        getsockname(listener, reinterpret_cast<sockaddr*>(&at), &length);
+        address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+        for (int n = 0; n < 4; ++n) {
+            fillers.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+            (void)connect(fillers.back(), reinterpret_cast<sockaddr*>(&at), length);
+        }
+    }
+    ~Deaf() {
+        for (const int fd : fillers) close(fd);
+        close(listener);
+    }
+};
+
+void a_connection_that_never_comes_up_was_never_sent() {
+    World w;
+    const Deaf deaf;
+    w.platform.point("r1", deaf.address);
+    w.pass(ms(30));
+    auto c = w.ask("700");
+    assert(c->status() == 503 || c->status() == 504);
+    // Another reader has it at once.
+    w.platform.add("r2", Role::reader, "z", 1);
+    w.pass(ms(30));
+    assert(w.ask()->whole());
+    const Tally& t = w.node->desk().tally();
+    assert(t.not_connected > 0 &&
+           t.not_connected == t.endings[static_cast<std::size_t>(Ending::unreachable)]);
+    assert(t.endings[static_cast<std::size_t>(Ending::broken)] == 0 && w.platform.count("POST", "r1") == 0);
+    w.at_rest();
+}
+
 void good_streams_that_bring_more_than_belongs_to_them_are_good() {
     for (const Fault fault : {Fault::interim, Fault::second_answer}) {
         World w;
@@ -613,6 +658,7 @@
     a_calm_call_is_passed_on_unchanged_and_its_stream_comes_back_whole();
     each_outcome_is_told_apart();
     what_was_never_sent_is_told_from_what_may_have_run();
+    a_connection_that_never_comes_up_was_never_sent();
     good_streams_that_bring_more_than_belongs_to_them_are_good();
     a_stream_that_is_spoilt_after_its_first_event_ends_without_its_last_chunk();
     a_client_that_leaves_takes_its_launch_and_its_state_with_it();
