--- a/src/wirehost/main.cpp
+++ b/src/wirehost/main.cpp
@@ -133,7 +133,8 @@
             Listing listing;
             listing.server = servers_.index(text(e, "server"));
             listing.mark = mark(text(e, "server"));
-            listing.kind = static_cast<std::uint16_t>(known(named_.kinds, text(e, "family-type"), "family-type"));
+            listing.kind =
+                static_cast<std::uint16_t>(known(named_.kinds, text(e, "family-type"), "family-type"));
             listing.zone = static_cast<std::uint16_t>(named_.zones.index(text_or(e, "region-part", "")));
             listing.cell = cells_.index(std::to_string(number_or(e, "unit-group", 0)));
             listing.born = {micros(number_or(e, "born-ms", 0))};
@@ -152,7 +153,8 @@
         const std::uint64_t id = whole(event, "call");
         if (index_of_call_.count(id)) throw BadInput("a call comes twice: " + std::to_string(id));
         Arrival a;
-        a.category = static_cast<std::uint16_t>(known(named_.categories, text(event, "priority"), "priority"));
+        a.category =
+            static_cast<std::uint16_t>(known(named_.categories, text(event, "priority"), "priority"));
         if (const Json* group = field(event, "client-group"); group && group->is_string())
             a.client_group =
                 static_cast<std::int32_t>(known(named_.groups, group->get<std::string>(), "client-group"));
