A state's time runs on while connections to writers fail to come up

Ruled out: the release itself (it was sent at once when the module asked for it) and lost answers (none there). At fault: launch_ended in rules.cpp set the time since which a state waits anew with each ended launch, also one that was never sent, and hand_over looked at that time only for parked states. PROTOCOL: the time keeps running while connections fail to come up. Now it does, and hand_over lets an overdue state go.

Test: hand-overs that never connect, state let go within nine tenths of its time; fails without.

--- a/src/core/rules.cpp
+++ b/src/core/rules.cpp
@@ -279,9 +279,7 @@
 
 // Shut out, a server is tried again by single launches once its time is over; a good one lets it back in.
 bool Rules::is_open(ServerIndex s) const {
-    if (!may_take(s)) return false;
-    if (shut_for_[s].us == 0) return true;
-    return host_.now() >= shut_until_[s] && waiting_[s] == 0;
+    return may_take(s) && (shut_for_[s].us == 0 || (host_.now() >= shut_until_[s] && waiting_[s] == 0));
 }
 
 // Open to this query: not known to leave its category unanswered.
@@ -873,7 +871,7 @@
 // The read has ended, so the state goes to the writer with the most free memory now.
 void Rules::hand_over(QueryIndex i) {
     Query& q = queries_[i];
-    if (standing_[q.state_at] == Standing::gone || life_[q.state_at] != q.state_life) {
+    if (standing_[q.state_at] == Standing::gone || life_[q.state_at] != q.state_life || is_overdue(q)) {
         let_go(i);
         return retry_or_end(i);
     }
@@ -895,20 +893,24 @@
     wake_soon(terms_.release_within * 0.25);
 }
 
-// A state may wait only as long as the rule on held states allows, less a margin for late batches.
+// A state may wait only as long as the rule on held states allows, less a margin for what never connects.
+bool Rules::is_overdue(const Query& q) const {
+    const Span own = q.facts.hand_over_within, rule = terms_.release_within * 0.6;
+    return host_.now() - q.parked_since >= (own.us > 0 ? std::min(own, rule) : rule);
+}
+
 void Rules::serve_parked() {
     for (std::size_t n = parked_.size(); n > 0; --n) {
         const auto [i, serial] = parked_.front();
         parked_.pop_front();
         Query& q = queries_[i];
         if (q.serial != serial || q.stage != Stage::parked) continue;
-        const Span waited = host_.now() - q.parked_since, own = q.facts.hand_over_within;
-        const Span rule = terms_.release_within * 0.6, most = own.us > 0 ? std::min(own, rule) : rule;
         ServerIndex s = 0;
-        if (q.launches < most_launches(q) && (waited >= terms_.release_within * 0.4 || any_room(q)) &&
+        if (q.launches < most_launches(q) &&
+            (host_.now() - q.parked_since >= terms_.release_within * 0.4 || any_room(q)) &&
             pick_writer(q, s)) {
             send(i, s, false);
-        } else if (waited >= most || q.launches >= most_launches(q)) {
+        } else if (is_overdue(q) || q.launches >= most_launches(q)) {
             let_go(i);
             retry_or_end(i);
         } else {
@@ -944,9 +946,8 @@
     Query& q = queries_[i];
     const Category& c = terms_.categories[q.facts.category];
     if (q.out && q.stage == Stage::writing && q.has_state) note_hand_over(q, host_.now() - q.sent);
-    const bool uncertain = q.may_have_run || q.out;
-    const bool harmless =
-        !uncertain || c.effect == Effect::pure || (c.effect == Effect::receipted && c.group == Group::all);
+    const bool harmless = (!q.may_have_run && !q.out) || c.effect == Effect::pure ||
+                          (c.effect == Effect::receipted && c.group == Group::all);
     harmless ? host_.decline(i, stay_away) : host_.give_up(i);
     over(i);
 }
@@ -1042,7 +1043,7 @@
             q.answer_lost = true;
             if (!reading && q.has_state && !outcome.stale) let_go(i);
         }
-        q.parked_since = host_.now();
+        if (e != Ending::unreachable) q.parked_since = host_.now();
         q.last = e;
         if (e == Ending::unsent || q.hard_stop <= host_.now() + terms_.quantum) {
             end(i, Span{0});
--- a/src/core/rules.h
+++ b/src/core/rules.h
@@ -191,6 +191,7 @@
     std::uint32_t most_launches(const Query& q) const;
     Instant of_use_until(const Query& q) const;
     void serve_lines();
+    bool is_overdue(const Query& q) const;
     void serve_parked();
     void wake_soon(Span after);
     void watch();
--- a/tests/core/rules_test.cpp
+++ b/tests/core/rules_test.cpp
@@ -195,6 +195,24 @@
     assert(t.host.declined.size() == 1 && t.host.stay_away > Span{0});
 }
 
+// A hand-over whose connection never came up is none: the state has been waiting since its read.
+void state_for_writers_out_of_reach_is_let_go_in_time() {
+    Story t;
+    for (ServerIndex s = 4; s < 8; ++s) t.list.push_back({s, 1, 1, 1, {}, Standing::ready});
+    t.terms.categories[0].latency_goal = ms(3000);
+    t.start();
+    const QueryIndex q = t.read_one();
+    const Instant read = t.host.clock;
+    while (t.host.released.empty()) {
+        assert(t.host.clock - read <= t.terms.release_within * 0.9);
+        t.pass(ms(250));
+        if (t.host.released.empty()) t.ended(q, Ending::unreachable);
+    }
+    // Then it is read anew.
+    t.pass(ms(50));
+    assert(t.last().query == q && is_reader(t.last().server));
+}
+
 void reader_lost_before_the_fetch_means_a_new_read() {
     Story t;
     t.start();
@@ -914,6 +932,7 @@
     full_writers_hold_reads_for_a_second_and_a_lost_state_does_not();
     full_reader_is_passed_over_and_says_nothing_of_writers();
     no_room_lets_go_of_the_state_in_time();
+    state_for_writers_out_of_reach_is_let_go_in_time();
     reader_lost_before_the_fetch_means_a_new_read();
     stream_that_breaks_is_over();
     answer_lost_on_its_way_back_is_read_again_where_the_text_lies_now();
