Discovery is asked several times a second while silent; a silent watch is found in 1.25 s

Checked: no gateway logged a list it could not use, none was restarted between. At fault: discovery.cpp. A call to a silent agent was given 1 s, and the next came up to 1 s later, so the list was known up to 2 s after the agent had it, where a drain leaves a quarter of a second. The watch itself waited 5 s and 1 s more before its silence was noticed, and the next dial came 0.1 s later, so a change just after it had opened could be 6.1 s old.

Now calls follow each other every 60 to 120 ms (drawn, so not in step), none is given up for the next, and the first that is answered goes on as the watch, which waits 1 s. Eight connections at most; the agent is on the gateway's own machine and answers at no cost.

--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -1,9 +1,11 @@
 // One thread's event loop: time, timers, signals and what is to be done once the present callback is over.
 #pragma once
 
+#include <concepts>
 #include <deque>
 #include <functional>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "core/units.h"
@@ -36,6 +38,16 @@
     void post(std::function<void()> what);
     // Deleted after the present callback.
     void bury(std::unique_ptr<Buried> what);
+    // The same for what is no Buried itself, such as an owner that its own stream calls.
+    template <class What>
+    requires(!std::derived_from<What, Buried>) void bury(std::unique_ptr<What> what) {
+        struct Grave : Buried {
+            std::unique_ptr<What> held;
+        };
+        auto grave = std::make_unique<Grave>();
+        grave->held = std::move(what);
+        bury(std::unique_ptr<Buried>(std::move(grave)));
+    }
     // Kept until it is buried by its address, or until the loop ends: for what has no other owner any more.
     void adopt(std::unique_ptr<Buried> what);
     void bury(Buried* adopted);
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -2,52 +2,59 @@
 // or goes backward, changes nothing and has the whole list asked for again; silence has an end.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
+#include <vector>
 
-#include "http/message.h"
 #include "logging/log.h"
-#include "net/stream.h"
+#include "net/address.h"
+#include "net/loop.h"
 #include "platform/registry.h"
 
 namespace copperfront {
 
-class Discovery : public Stream::Owner {
+class Discovery {
   public:
     using Told = std::function<void(const platform::News&)>;
 
-    Discovery(Loop& loop, Told told, std::function<void()> missed, Log& log);
-    ~Discovery() override;
+    // The most connections that it holds at once.
+    static constexpr std::size_t kMostCalls = 8;
+
+    Discovery(Loop& loop, Told told, std::function<void()> missed, std::uint32_t seed, Log& log);
+    ~Discovery();
 
     // From now on at this address, the whole list first. The same address again changes nothing.
     void follow(const std::string& address);
     void stop();
     bool live() const { return live_; }
 
-    void stream_made(Stream&) override;
-    void bytes_came(Stream&) override;
-    void stream_closed(Stream&, Closing, const std::string& what) override;
-
   private:
-    void dial();
-    void ask();
-    void lost(const std::string& why);
-    void take();
+    class Call;
+    friend class Call;
+
+    void open_call();
+    void answered(Call& call, bool keeps_open, const std::string& body);
+    void lost(Call& call, const std::string& why);
+    void drop(Call& call);
+    void watch_is_lost(const std::string& why);
+    std::string target() const;
 
     Loop& loop_;
     Told told_;
     std::function<void()> missed_;
     Log& log_;
+    std::minstd_rand chance_;
     std::string text_;
     Address address_;
-    std::unique_ptr<Stream> stream_;
-    std::unique_ptr<http::Message> message_;
-    std::string body_;
-    bool live_ = false, whole_wanted_ = true, complained_ = false;
+    // While it is live: the watch. Else each asks for the whole list, and the first to be answered goes on as
+    // the watch.
+    std::vector<std::unique_ptr<Call>> calls_;
+    bool live_ = false, complained_ = false;
     std::uint64_t index_ = 0;
-    Span redial_;
-    Timer again_, patience_;
+    Timer again_;
 };
 
 }  // namespace copperfront
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -66,7 +66,8 @@
     fronts_ = std::make_unique<Fronts>(loop, front_bounds(terms_), static_cast<Fronts::Owner&>(*this));
     servers_ = std::make_unique<Servers>(loop, server_bounds(terms_), static_cast<Servers::Owner&>(*this));
     discovery_ = std::make_unique<Discovery>(
-        loop, [this](const platform::News& news) { list_told(news); }, [this] { desk_->list_missed(); }, log);
+        loop, [this](const platform::News& news) { list_told(news); }, [this] { desk_->list_missed(); },
+        terms_.seed, log);
     Outside& outside = *this;
     desk_ = std::make_unique<Desk>(terms_.core, outside, terms_.seed);
     desk_->limits_changed(std::vector<RouteLimits>{limits()}, terms_.core.gateways);
--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -204,7 +204,7 @@
             const std::size_t after = target.find("after="), wait = target.find("wait_ms=");
             waits_ = after != std::string::npos;
             after_ = waits_ ? std::strtoull(target.c_str() + after + 6, nullptr, 10) : 0;
-            if (all_.silent_) return;
+            if (all_.silent_ || mute_) return;
             if (!waits_ || after_ < all_.index_ || !all_.odd_lists_.empty()) {
                 tell();
             } else {
@@ -215,8 +215,10 @@
     }
     void stream_closed(Stream&, Closing, const std::string&) override { all_.drop(*this); }
     bool waits() const { return wait_.is_set(); }
+    void fall_silent() { mute_ = true; }
     void tell() {
         wait_.off();
+        if (all_.silent_ || mute_) return;
         std::string body;
         if (!all_.odd_lists_.empty()) {
             body = all_.odd_lists_.front();
@@ -238,27 +240,46 @@
     std::unique_ptr<Stream> stream_;
     std::unique_ptr<http::Message> message_;
     std::uint64_t after_ = 0;
-    bool waits_ = false;
+    bool waits_ = false, mute_ = false;
     Timer wait_;
 };
 
-Platform::Platform(Loop& loop, const Shape& shape) : loop_(loop), shape_(shape) { open_discovery(); }
+Platform::Platform(Loop& loop, const Shape& shape) : loop_(loop), shape_(shape) {
+    open_discovery(Address::parse("127.0.0.1:0"));
+}
 
 Platform::~Platform() = default;
 
-void Platform::open_discovery() {
-    discovery_ = std::make_unique<Listener>(loop_, Address::parse("127.0.0.1:0"), [this](int fd) {
+void Platform::open_discovery(const Address& at) {
+    discovery_ = std::make_unique<Listener>(loop_, at, [this](int fd) {
         auto watcher = std::make_unique<Watcher>(*this, fd);
         Watcher* raw = watcher.get();
         watchers_.emplace(raw, std::move(watcher));
     });
+    discovery_address_ = discovery_->address();
+}
+
+Address Platform::discovery() const { return discovery_address_; }
+
+void Platform::discovery_is_down(bool down) {
+    if (down)
+        discovery_.reset();
+    else
+        open_discovery(discovery_address_);
+    if (down) watches_are_reset();
+}
+
+void Platform::watches_fall_silent() {
+    for (const auto& [watcher, held] : watchers_) watcher->fall_silent();
 }
 
-Address Platform::discovery() const { return discovery_->address(); }
+void Platform::watches_are_reset() {
+    while (!watchers_.empty()) drop(*watchers_.begin()->first, true);
+}
 
 void Platform::move_discovery() {
     while (!watchers_.empty()) drop(*watchers_.begin()->first);
-    open_discovery();
+    open_discovery(Address::parse("127.0.0.1:0"));
 }
 
 void Platform::add(const std::string& name, Role role, const std::string& zone, int group,
@@ -348,30 +369,23 @@
 void Platform::drop(Line& line, bool reset) {
     const auto held = lines_.find(&line);
     if (held == lines_.end()) return;
-    struct Grave : Buried {
-        std::unique_ptr<Line> line;
-    };
-    auto grave = std::make_unique<Grave>();
-    grave->line = std::move(held->second);
-    lines_.erase(held);
     if (reset)
         Stream::reset(loop_, line.take_stream());
     else
         Stream::hand_off(loop_, line.take_stream(), true);
-    loop_.bury(std::move(grave));
+    loop_.bury(std::move(held->second));
+    lines_.erase(held);
 }
 
-void Platform::drop(Watcher& watcher) {
+void Platform::drop(Watcher& watcher, bool reset) {
     const auto held = watchers_.find(&watcher);
     if (held == watchers_.end()) return;
-    struct Grave : Buried {
-        std::unique_ptr<Watcher> watcher;
-    };
-    auto grave = std::make_unique<Grave>();
-    grave->watcher = std::move(held->second);
+    if (reset)
+        Stream::reset(loop_, watcher.take_stream());
+    else
+        Stream::hand_off(loop_, watcher.take_stream(), false);
+    loop_.bury(std::move(held->second));
     watchers_.erase(held);
-    Stream::hand_off(loop_, watcher.take_stream(), false);
-    loop_.bury(std::move(grave));
 }
 
 }  // namespace copperfront::standin
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -74,6 +74,11 @@
     // The answer to the next call to discovery, in place of the list.
     void next_list(const std::string& body) { odd_lists_.push_back(body); }
     void discovery_is_silent(bool silent) { silent_ = silent; }
+    // Its port refuses connections, and open ones are reset.
+    void discovery_is_down(bool down);
+    // Of the calls that are open now: none is ever answered, or each is reset.
+    void watches_fall_silent();
+    void watches_are_reset();
     // The list in discovery's form.
     std::string list() const;
 
@@ -97,9 +102,9 @@
     Fault fault_for(const std::string& server);
     void changed(const std::string& name);
     std::string entries(const std::vector<std::string>& names) const;
-    void open_discovery();
+    void open_discovery(const Address& at);
     void drop(Line& line, bool reset);
-    void drop(Watcher& watcher);
+    void drop(Watcher& watcher, bool reset = false);
 
     Loop& loop_;
     const Shape shape_;
@@ -112,7 +117,8 @@
     bool silent_ = false;
     std::map<Line*, std::unique_ptr<Line>> lines_;
     std::map<Watcher*, std::unique_ptr<Watcher>> watchers_;
-    std::unique_ptr<Listener> discovery_;
+    std::unique_ptr<Listener> discovery_;  // null: down
+    Address discovery_address_;
 };
 
 }  // namespace copperfront::standin
