No launch for a client that has gone: asked of the system before its first byte

So a call and its client's close lie in one socket behind a backlog, the call is read and launched, and the close is seen a turn later. At fault: servers.cpp wrote launches, also those that had waited for a connection, without asking whether their client was still there.

Now Stream::peer_has_ended asks the system (a peek, and a poll where bytes lie before the end), and Servers asks right before the first byte. What was never sent leaves nothing to release: a launch called off is taken back first where it still can be.

Test: a call and a close in one go, with and without a second call behind; fails without.

--- a/src/desk/desk.cpp
+++ b/src/desk/desk.cpp
@@ -393,9 +393,13 @@
     if (it == launches_.end() || it->second.begun || it->second.called_off || it->second.unsent) return;
     it->second.called_off = true;
     ++tally_.called_off;
-    outside_.call_off(it->first, it->second.server);
     Outcome outcome;
     outcome.ending = Ending::retracted;
+    // What was never sent has left nothing behind, and tells nothing of its server where its query is over.
+    if (outside_.unsend(it->first, it->second.server))
+        outcome.ending = ticket.ended || ticket.done ? Ending::unsent : Ending::unreachable;
+    else
+        outside_.call_off(it->first, it->second.server);
     posted_.emplace_back(it->first, outcome);
 }
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -123,6 +124,18 @@
 
 std::size_t Stream::unsent() const { return evbuffer_get_length(bufferevent_get_output(events_)); }
 
+bool Stream::peer_has_ended() const {
+    if (closed_) return true;
+    if (!made_) return false;
+    const int fd = bufferevent_getfd(events_);
+    char next = 0;
+    const ssize_t there = recv(fd, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (there == 0) return true;
+    if (there < 0) return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+    pollfd at{fd, POLLRDHUP, 0};
+    return poll(&at, 1, 0) == 1 && (at.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void Stream::pause_reading(bool pause) {
     if (pause)
         bufferevent_disable(events_, EV_READ);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -62,6 +62,9 @@
     void send(std::string_view bytes);
     std::size_t unsent() const;
     bool made() const { return made_; }
+    // Whether the peer has closed or reset, asked of the system: its end may lie behind bytes, or behind
+    // other events, that the loop has not come to yet.
+    bool peer_has_ended() const;
     void pause_reading(bool pause);
     // Sends an end after what is queued; reading goes on.
     void end_sending();
--- a/src/node/fronts.cpp
+++ b/src/node/fronts.cpp
@@ -57,6 +57,7 @@
     ClientId id() const { return id_; }
     Stage stage() const { return stage_; }
     bool has_asked() const { return has_asked_; }
+    bool has_left() const { return stream_->peer_has_ended(); }
     std::uint64_t turn() const { return turn_; }
     std::unique_ptr<Stream> take_stream() {
         patience_.off();
@@ -284,6 +285,11 @@
     if (Session* s = find(client)) s->finish();
 }
 
+bool Fronts::has_left(ClientId client) const {
+    const auto it = sessions_.find(client);
+    return it == sessions_.end() || it->second->has_left();
+}
+
 void Fronts::break_off(ClientId client) {
     if (Session* s = find(client)) drop(*s, false);
 }
--- a/src/node/fronts.h
+++ b/src/node/fronts.h
@@ -51,6 +51,8 @@
     void begin_stream(ClientId client);
     bool pass_on(ClientId client, std::string_view events);
     void end_stream(ClientId client);
+    // Whether the client has closed its connection, also where the loop has not come to that yet.
+    bool has_left(ClientId client) const;
     // The connection ends without the stream's end.
     void break_off(ClientId client);
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -254,6 +254,11 @@
     return it != by_id_.end() && (open_[it->second].out > 0 || open_[it->second].state != 0);
 }
 
+bool Node::is_awaited(LaunchId launch) const {
+    const auto it = of_launch_.find(launch);
+    return it != of_launch_.end() && !fronts_->has_left(open_[it->second].client);
+}
+
 // ---- from servers
 
 // For whoever looks for the cause of something; nothing is written per query otherwise.
@@ -273,6 +278,11 @@
         Open& open = open_[it->second];
         if (open.out > 0) --open.out;
         if (outcome.ending == Ending::read) open.state = launch;
+        if (outcome.ending == Ending::unsent) {
+            const ClientId client = open.client;
+            fronts_->break_off(client);
+            left(client);
+        }
     }
     desk_->launch_ended(launch, outcome);
 }
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -66,6 +66,10 @@
     bool is_reusable() const { return reusable_ && stream_->held() == 0; }
 
     void stream_made(Stream&) override {
+        if (use_ == Use::launch && !all_.owner_.is_awaited(launch_)) {
+            all_.not_awaited(launch_);
+            return all_.drop(*this, false);
+        }
         if (!first_.empty()) stream_->send(first_);
         first_ = {};
     }
@@ -261,6 +265,7 @@
 }
 
 void Servers::send(ServerIndex server, LaunchId launch, std::string message, bool reading) {
+    if (!owner_.is_awaited(launch)) return not_awaited(launch);
     Line* line = line_to(server);
     out_[launch] = line;
     line->carry(launch, std::move(message), reading);
@@ -275,6 +280,7 @@
 }
 
 bool Servers::unsend(LaunchId launch) {
+    if (not_awaited_.erase(launch) > 0) return true;
     const auto it = out_.find(launch);
     if (it == out_.end() || !it->second->never_sent()) return false;
     Line& line = *it->second;
@@ -334,6 +340,20 @@
     loop_.post([this, launch, outcome, what] { owner_.launch_over(launch, outcome, what); });
 }
 
+// Against a launch for a client that has gone, whose end waits behind other events.
+void Servers::not_awaited(LaunchId launch) {
+    out_.erase(launch);
+    ++counts_.not_made;
+    not_awaited_.insert(launch);
+    loop_.post([this, launch] {
+        if (not_awaited_.count(launch) == 0) return;
+        Outcome outcome;
+        outcome.ending = Ending::unsent;
+        owner_.launch_over(launch, outcome, "its client has gone");
+        not_awaited_.erase(launch);
+    });
+}
+
 void Servers::rest(Line& line) {
     Door& door = doors_[line.server()];
     if (!line.is_reusable() || door.gone || line.born() != door.born) {
--- a/src/node/servers.h
+++ b/src/node/servers.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/rules.h"
@@ -36,6 +37,8 @@
         virtual void launch_over(LaunchId launch, const Outcome& outcome, const std::string& what) = 0;
         // Whole events, unchanged; `count` of them carry something.
         virtual void events_came(LaunchId launch, std::string_view events, std::size_t count) = 0;
+        // Whether somebody still waits for it; asked right before its first byte is written.
+        virtual bool is_awaited(LaunchId launch) const = 0;
         // Whether a release of this query would now take what is still wanted.
         virtual bool is_wanted(const std::string& id) const = 0;
     };
@@ -97,6 +100,7 @@
     void make_room();
     void ended(Line& line, const Outcome& outcome);
     void lost(Line& line, bool never_sent, const std::string& what);
+    void not_awaited(LaunchId launch);
     void rest(Line& line);
     void go_on(Release& release);
     void released(Line& line, bool well);
@@ -108,6 +112,7 @@
     std::vector<Door> doors_;
     std::unordered_map<Line*, std::unique_ptr<Line>> lines_;
     std::unordered_map<LaunchId, Line*> out_;
+    std::unordered_set<LaunchId> not_awaited_;  // never sent, and their owner is yet to be told
     std::deque<std::unique_ptr<Release>> releases_;
     ServerIndex next_other_ = 0;
     Counts counts_;
--- a/tests/node/fleet_test.cpp
+++ b/tests/node/fleet_test.cpp
@@ -74,6 +74,26 @@
     }
 }
 
+// ---- clients that leave
+
+// A client's close may lie behind its call, and behind whatever else the loop has to do.
+void a_call_whose_client_has_gone_is_not_sent_on() {
+    World w;
+    const Address at = w.node->address();
+    for (const bool more : {false, true}) {
+        sockaddr_storage raw{};
+        const int length = at.fill(&raw);
+        const int fd = socket(AF_INET, SOCK_STREAM, 0);
+        assert(connect(fd, reinterpret_cast<sockaddr*>(&raw), static_cast<socklen_t>(length)) == 0);
+        const std::string call = w.call(w.fresh()) + (more ? w.call(w.fresh()) : "");
+        assert(write(fd, call.data(), call.size()) == static_cast<ssize_t>(call.size()));
+        close(fd);
+        w.pass(ms(100));
+    }
+    assert(w.platform.heard().empty() && w.node->desk().tally().left == 2);
+    w.at_rest();
+}
+
 }  // namespace
 
 int main() {
@@ -83,4 +103,5 @@
     a_watch_that_is_reset_is_opened_anew_at_once();
     a_discovery_that_refuses_is_followed_once_it_is_back();
     a_gateway_that_starts_without_discovery_serves_from_the_known_list();
+    a_call_whose_client_has_gone_is_not_sent_on();
 }
