Clients' ends are always seen; connections end by a half-close that waits for its queue

(1) A client's socket was no longer read once 16 KB lay behind its open call, so its end was unseen there: 70 KB of calls and a close were not noticed in 15 s. (2) At SIGTERM resting connections were closed outright, which resets a call that is on its way; now a half-close, and what comes is read and dropped. Idle time-outs and broken-off streams end alike. (3) Calls behind the open one were dropped at SIGTERM; they are served. (4) A peer that is told to go was cut after 1 s, also in the middle of a stream that its server had finished; now it has as long as it takes some of it (20 s at most), and the gateway waits for that. (5) The connections that linger count as clients' connections, and the longest-lingering make room first, so that no more descriptors are used than are the clients' part.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -74,6 +74,10 @@
     }
 }
 
+void Loop::bury_oldest_adopted() {
+    if (!adopted_.empty()) bury(adopted_.front().get());
+}
+
 void Loop::run_posted(int, short, void* self) {
     Loop& loop = *static_cast<Loop*>(self);
     // What is posted meanwhile waits for the next turn, so that sockets are not starved.
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -52,6 +52,8 @@
     void adopt(std::unique_ptr<Buried> what);
     void bury(Buried* adopted);
     std::size_t adopted() const { return adopted_.size(); }
+    // The one that has been kept for longest goes now, to make room.
+    void bury_oldest_adopted();
     void on_signal(int signal, std::function<void()> what);
 
     event_base* base() const { return base_; }
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -15,7 +15,9 @@
 namespace copperfront {
 namespace {
 
-constexpr Span kLastWords{1000000};  // for a peer to take what is queued at a close
+constexpr Span kLastWords{1000000};       // for a peer to take what is queued at a close
+constexpr int kMostStalled = 5;           // so often with none of it taken
+constexpr Span kLastWordsMost{20000000};  // in all
 // Most that is read and dropped of a peer that is told to go; past it the close is not waited for.
 constexpr std::size_t kMostDropped = 4 << 20;
 
@@ -174,7 +176,17 @@
     Stream* rest = stream.get();
     loop.adopt(std::move(stream));
     rest->flushing_ = rest->polite_ = true;
-    rest->last_words_ = std::make_unique<Timer>(loop, [rest, &loop] { loop.bury(rest); });
+    rest->still_queued_ = rest->unsent();
+    const Instant latest = loop.now() + kLastWordsMost;
+    rest->last_words_ = std::make_unique<Timer>(loop, [rest, &loop, latest] {
+        // Against a stream that its source has finished, and whose end is lost on a peer that reads slowly.
+        const std::size_t queued = rest->unsent();
+        rest->stalled_ = queued < rest->still_queued_ ? 0 : rest->stalled_ + 1;
+        if (queued == 0 || rest->stalled_ >= kMostStalled || rest->done_ || loop.now() > latest)
+            return loop.bury(rest);
+        rest->still_queued_ = queued;
+        rest->last_words_->set(kLastWords);
+    });
     rest->last_words_->set(kLastWords);
     rest->drain(rest->held());
     bufferevent_enable(rest->events_, EV_READ);
@@ -205,7 +217,9 @@
     if (stream.flushing_) {
         stream.dropped_ += stream.held();
         stream.drain(stream.held());
-        if (stream.dropped_ > kMostDropped) stream.last_words_->set(Span{0});
+        if (stream.dropped_ <= kMostDropped) return;
+        stream.done_ = true;
+        stream.last_words_->set(Span{0});
         return;
     }
     if (stream.owner_ && !stream.closed_) stream.owner_->bytes_came(stream);
@@ -214,6 +228,7 @@
 void Stream::happened(bufferevent*, short what, void* self) {
     Stream& stream = *static_cast<Stream*>(self);
     if (stream.flushing_) {
+        stream.done_ = true;
         stream.last_words_->set(Span{0});
         return;
     }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -72,8 +72,9 @@
     // Stops all calls to the owner, writes out what is queued if `flush` and the peer takes it within a
     // second, and closes.
     static void hand_off(Loop& loop, std::unique_ptr<Stream> stream, bool flush);
-    // The same, but the peer is given a second to see the end before the connection closes: what it still
-    // sends is read and dropped, as a close on unread bytes would be a reset that can eat the last answer.
+    // The same, but a half-close: the peer is given a second to see the end before the connection closes, and
+    // more while it still takes what is queued. What it sends meanwhile is read and dropped, as a close on
+    // unread bytes would be a reset that can eat the last answer.
     static void hand_off_politely(Loop& loop, std::unique_ptr<Stream> stream);
     // Resets the connection (no orderly end): what a peer sees when a process dies.
     static void reset(Loop& loop, std::unique_ptr<Stream> stream);
@@ -90,8 +91,10 @@
     Bounds bounds_;
     Owner* owner_;
     bufferevent* events_ = nullptr;
-    bool made_ = false, closed_ = false, flushing_ = false, polite_ = false, end_wanted_ = false;
-    std::size_t dropped_ = 0;
+    bool made_ = false, closed_ = false, flushing_ = false, polite_ = false, end_wanted_ = false,
+         done_ = false;
+    int stalled_ = 0;
+    std::size_t dropped_ = 0, still_queued_ = 0;
     std::unique_ptr<Timer> last_words_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/node/fronts.cpp
+++ b/src/node/fronts.cpp
@@ -8,7 +8,6 @@
 namespace copperfront {
 namespace {
 
-constexpr std::size_t kPipelined = 16 << 10;  // of what comes behind an open call
 constexpr std::size_t kMostUnsent = 1 << 20;  // of a stream whose source did not wait
 
 const char* reason_of(int status) {
@@ -49,10 +48,13 @@
 
     Session(Fronts& all, ClientId id, int fd)
         : all_(all), id_(id), patience_(all.loop_, [this] { too_slow(); }) {
-        stream_ = Stream::accepted(all.loop_, fd, {kMostUnsent, kPipelined}, *this);
+        stream_ = Stream::accepted(all.loop_, fd, {kMostUnsent, 0}, *this);
         rest(all.bounds_.message_within);
     }
-    ~Session() override { all_.body_bytes_ -= body_.size(); }
+    ~Session() override {
+        all_.body_bytes_ -= body_.size();
+        all_.pipelined_bytes_ -= pipelined_;
+    }
 
     ClientId id() const { return id_; }
     Stage stage() const { return stage_; }
@@ -91,6 +93,12 @@
             }
             if (message_->done()) return call();
         }
+        // Never paused: the client's end would go unseen behind what is not read. What is more than one call
+        // behind the open one is not kept, and the connection ends after the answer.
+        if (!discards_ && note_pipelined() && pipelined_ <= all_.bounds_.message.body_bytes) return;
+        discards_ = closes_ = true;
+        stream_->drain(stream_->held());
+        note_pipelined();
     }
     void all_sent(Stream&) override {
         if (stage_ == Stage::streaming && waits_) {
@@ -119,10 +127,11 @@
     }
     void begin() {
         stage_ = Stage::streaming;
-        stream_->send(closes() ? "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                                 "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
-                               : "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-                                 "Transfer-Encoding: chunked\r\n\r\n");
+        last_ = closes();
+        stream_->send(last_ ? "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                              "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+                            : "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n");
     }
     bool pass_on(std::string_view events) {
         if (events.empty()) return true;
@@ -141,7 +150,16 @@
     }
 
   private:
-    bool closes() const { return closes_ || all_.winding_up_; }
+    // Winding up, what lies behind the open call is served before the connection ends.
+    bool closes() const { return closes_ || (all_.winding_up_ && stream_->held() == 0); }
+
+    // False: more is kept for all clients together than there is room for.
+    bool note_pipelined() {
+        const std::size_t now = stage_ == Stage::open || stage_ == Stage::streaming ? stream_->held() : 0;
+        all_.pipelined_bytes_ += now - pipelined_;
+        pipelined_ = now;
+        return all_.pipelined_bytes_ <= all_.bounds_.body_bytes;
+    }
 
     void gather(std::string_view piece) {
         if (all_.body_bytes_ + piece.size() > all_.bounds_.body_bytes) {
@@ -173,13 +191,15 @@
                            "\r\nContent-Type: text/plain\r\nContent-Length: " + std::to_string(body.size()) +
                            "\r\n";
         text.append(more);
-        text.append(closes() ? "Connection: close\r\n\r\n" : "\r\n").append(body);
+        last_ = closes();
+        text.append(last_ ? "Connection: close\r\n\r\n" : "\r\n").append(body);
         stream_->send(text);
     }
 
     void over() {
-        if (closes()) return all_.drop(*this, true);
+        if (last_ || closes()) return all_.drop(*this, true);
         stage_ = Stage::quiet;
+        note_pipelined();
         rest(all_.bounds_.idle);
         // What came behind the call is read after whatever answered it is through.
         if (stream_->held() > 0) {
@@ -199,7 +219,7 @@
     void too_slow() {
         // Against half a call and then nothing: what has begun is owed a word, what has not a close.
         if (stage_ == Stage::calling) return refuse(408, "the call did not end in time");
-        all_.drop(*this, false);
+        all_.drop(*this, true);
     }
 
     Fronts& all_;
@@ -210,6 +230,8 @@
     std::unique_ptr<http::Message> message_;
     std::string body_;
     bool closes_ = false, has_asked_ = false, waits_ = false, overfull_ = false, told_to_go_on_ = false;
+    bool discards_ = false, last_ = false;  // what comes is not kept; the answer says that it is the last
+    std::size_t pipelined_ = 0;
     Timer patience_;
 };
 
@@ -218,14 +240,17 @@
 
 Fronts::~Fronts() = default;
 
+bool Fronts::is_full() const { return sessions_.size() + loop_.adopted() >= bounds_.connections; }
+
 Fronts::Session* Fronts::find(ClientId client) {
     const auto it = sessions_.find(client);
     return it == sessions_.end() ? nullptr : it->second.get();
 }
 
 void Fronts::came(int fd) {
-    if (sessions_.size() >= bounds_.connections) make_room();
-    if (sessions_.size() >= bounds_.connections) {
+    while (loop_.adopted() > 0 && is_full()) loop_.bury_oldest_adopted();
+    if (is_full()) make_room();
+    if (is_full()) {
         ::close(fd);
         return;
     }
@@ -253,18 +278,13 @@
     const auto it = sessions_.find(session.id());
     if (it == sessions_.end()) return;
     // It may be on the call stack.
-    struct Grave : Buried {
-        std::unique_ptr<Session> session;
-    };
-    auto grave = std::make_unique<Grave>();
-    grave->session = std::move(it->second);
+    loop_.bury(std::move(it->second));
     sessions_.erase(it);
-    // Those that linger hold descriptors too: only so many at once.
-    if (polite && loop_.adopted() < bounds_.connections / 4)
+    // Those that linger hold descriptors too, and count.
+    if (polite && !is_full())
         Stream::hand_off_politely(loop_, session.take_stream());
     else
         Stream::hand_off(loop_, session.take_stream(), false);
-    loop_.bury(std::move(grave));
     pass_over();
 }
 
@@ -291,7 +311,7 @@
 }
 
 void Fronts::break_off(ClientId client) {
-    if (Session* s = find(client)) drop(*s, false);
+    if (Session* s = find(client)) drop(*s, true);
 }
 
 void Fronts::wind_up() {
@@ -299,14 +319,14 @@
     std::vector<Session*> idle;
     for (const auto& [id, session] : sessions_)
         if (session->stage() == Session::Stage::quiet && session->has_asked()) idle.push_back(session.get());
-    for (Session* session : idle) drop(*session, false);
+    for (Session* session : idle) drop(*session, true);
 }
 
 void Fronts::close_unasked() {
     std::vector<Session*> unasked;
     for (const auto& [id, session] : sessions_)
         if (session->stage() == Session::Stage::quiet) unasked.push_back(session.get());
-    for (Session* session : unasked) drop(*session, false);
+    for (Session* session : unasked) drop(*session, true);
 }
 
 void Fronts::close_all() {
--- a/src/node/fronts.h
+++ b/src/node/fronts.h
@@ -68,6 +68,7 @@
     friend class Session;
     Session* find(ClientId client);
     void drop(Session& session, bool polite);
+    bool is_full() const;
     void make_room();
     void pass_over();
 
@@ -75,7 +76,7 @@
     Bounds bounds_;
     Owner& owner_;
     ClientId next_ = 1;
-    std::size_t body_bytes_ = 0;
+    std::size_t body_bytes_ = 0, pipelined_bytes_ = 0;
     bool winding_up_ = false;
     std::unordered_map<ClientId, std::unique_ptr<Session>> sessions_;
     // Without an open call, the longest so first; entries whose session has moved on are stale.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -395,8 +395,9 @@
         listener_.reset();
         fronts_->close_unasked();
     }
+    // What is still being written to clients has a bound of its own.
     if (desk_->open_queries() > 0 || desk_->launches_out() > 0 || servers_->owed() > 0 ||
-        (fronts_->size() > 0 && loop_.now() - stop_asked_ < kStillTaking * 4))
+        loop_.adopted() > 0 || (fronts_->size() > 0 && loop_.now() - stop_asked_ < kStillTaking * 4))
         return stop_timer_.set(kLookForEnd);
     discovery_->stop();
     fronts_->close_all();
--- a/tests/node/fleet_test.cpp
+++ b/tests/node/fleet_test.cpp
@@ -1,4 +1,8 @@
 // The gateway among many: what discovery, restarts, clients that leave and servers out of reach ask of it.
+#include <fcntl.h>
+
+#include <cerrno>
+
 #include "world.h"
 
 using namespace copperfront;
@@ -94,14 +98,139 @@
     w.at_rest();
 }
 
+// A socket of its own, so that what it sends lies in the system, not yet come to by the loop.
+struct RawClient {
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    explicit RawClient(const Address& to) {
+        sockaddr_storage raw{};
+        const int length = to.fill(&raw);
+        assert(connect(fd, reinterpret_cast<sockaddr*>(&raw), static_cast<socklen_t>(length)) == 0);
+        fcntl(fd, F_SETFL, O_NONBLOCK);
+    }
+    ~RawClient() { close(fd); }
+    void say(const std::string& text) const {
+        assert(write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+    }
+    // All that has come; -1: the connection was reset. `ended`: its end has come.
+    std::ptrdiff_t hear(bool& ended, std::size_t most = 1 << 20) const {
+        std::string bytes(most, 0);
+        const ssize_t n = read(fd, bytes.data(), bytes.size());
+        ended = n == 0;
+        return n >= 0 ? n : errno == EAGAIN ? 0 : -1;
+    }
+};
+
+void a_client_that_leaves_behind_much_that_it_sent_is_seen_to_go() {
+    standin::Platform::Shape slow;
+    slow.read = ms(600);
+    World w(256, slow);
+    for (int round = 0; round < 2; ++round) {
+        auto c = w.client();
+        std::string text;
+        for (int n = 0; n < (round == 0 ? 200 : 3000); ++n) text += w.call(w.fresh());  // 70 KB, and 1 MB
+        c->say(text);
+        w.until("it is open", [&] { return w.node->desk().open_queries() == 1; });
+        w.pass(ms(150));
+        c->leave();
+        w.until(
+            "it is seen to go", [&] { return w.node->desk().open_queries() == 0; }, ms(100));
+    }
+    assert(w.platform.count("POST", "w1") == 0);
+    w.at_rest();
+}
+
+// ---- the end
+
+void calls_behind_the_open_one_are_served_at_a_stop() {
+    standin::Platform::Shape slow;
+    slow.read = ms(100);
+    World w(256, slow);
+    auto c = w.client();
+    c->say(w.call(w.fresh()) + w.call(w.fresh()) + w.call(w.fresh()));
+    w.until("the first is open", [&] { return w.node->desk().open_queries() == 1; });
+    w.node->stop();
+    w.until("the connection ends", [&] { return c->closed; });
+    std::size_t whole = 0;
+    for (std::size_t at = 0; (at = c->heard.find("data: [DONE]", at)) != std::string::npos; ++at) ++whole;
+    assert(c->answers() == 3 && whole == 3 && c->why == Closing::peer_ended);
+    w.loop.run();
+    assert(w.platform.states() == 0);
+}
+
+// A call that crosses the close of a resting connection is not read, and its client sees an end, no reset.
+void a_resting_connection_ends_in_good_order_at_a_stop() {
+    World w;
+    RawClient c(w.node->address());
+    c.say("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+    bool ended = false;
+    w.until("ready", [&] { return c.hear(ended) > 0; });
+    c.say(w.call("crossing"));
+    w.node->stop();
+    std::ptrdiff_t came = 0;
+    w.until("its end", [&] { return (came = c.hear(ended)) < 0 || ended; });
+    assert(ended && came == 0);
+    w.pass(ms(50));
+    assert(w.platform.heard().empty() && w.node->desk().tally().came == 0);
+}
+
+// What a server has finished is the client's, also one that takes its time.
+void what_is_queued_reaches_a_slow_peer_that_is_told_to_go() {
+    struct Deaf : Stream::Owner {
+        void bytes_came(Stream&) override {}
+        void stream_closed(Stream&, Closing, const std::string&) override {}
+    } deaf;
+    Loop loop;
+    std::unique_ptr<Stream> stream;
+    Listener listener(loop, Address::parse("127.0.0.1:0"), [&](int fd) {
+        const int small = 8192;
+        setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &small, sizeof small);
+        stream = Stream::accepted(loop, fd, {0, 0}, deaf);
+        stream->send(std::string(6 << 20, 'x'));
+        Stream::hand_off_politely(loop, std::move(stream));
+    });
+    RawClient peer(listener.address());
+    std::size_t heard = 0;
+    bool ended = false;
+    int turns = 0;
+    Timer turn(loop, [&] {
+        const std::ptrdiff_t n = peer.hear(ended, 64 << 10);
+        if (n > 0) heard += static_cast<std::size_t>(n);
+        if (ended || n < 0) return loop.stop();
+        // Once it takes nothing for longer than a second.
+        turn.set(++turns == 20 ? ms(1300) : ms(20));
+    });
+    turn.set(ms(20));
+    loop.run();
+    assert(heard == 6 << 20);
+}
+
 }  // namespace
 
-int main() {
+// All stories, or the one that is named.
+int main(int argc, char** argv) {
     setvbuf(stderr, nullptr, _IOLBF, 0);
-    a_list_is_known_the_moment_discovery_is_back();
-    a_watch_that_falls_silent_is_opened_anew();
-    a_watch_that_is_reset_is_opened_anew_at_once();
-    a_discovery_that_refuses_is_followed_once_it_is_back();
-    a_gateway_that_starts_without_discovery_serves_from_the_known_list();
-    a_call_whose_client_has_gone_is_not_sent_on();
+    const std::pair<const char*, void (*)()> stories[] = {
+        {"a_list_is_known_the_moment_discovery_is_back", a_list_is_known_the_moment_discovery_is_back},
+        {"a_watch_that_falls_silent_is_opened_anew", a_watch_that_falls_silent_is_opened_anew},
+        {"a_watch_that_is_reset_is_opened_anew_at_once", a_watch_that_is_reset_is_opened_anew_at_once},
+        {"a_discovery_that_refuses_is_followed_once_it_is_back",
+         a_discovery_that_refuses_is_followed_once_it_is_back},
+        {"a_gateway_that_starts_without_discovery_serves_from_the_known_list",
+         a_gateway_that_starts_without_discovery_serves_from_the_known_list},
+        {"a_call_whose_client_has_gone_is_not_sent_on", a_call_whose_client_has_gone_is_not_sent_on},
+        {"a_client_that_leaves_behind_much_that_it_sent_is_seen_to_go",
+         a_client_that_leaves_behind_much_that_it_sent_is_seen_to_go},
+        {"calls_behind_the_open_one_are_served_at_a_stop", calls_behind_the_open_one_are_served_at_a_stop},
+        {"a_resting_connection_ends_in_good_order_at_a_stop",
+         a_resting_connection_ends_in_good_order_at_a_stop},
+        {"what_is_queued_reaches_a_slow_peer_that_is_told_to_go",
+         what_is_queued_reaches_a_slow_peer_that_is_told_to_go},
+    };
+    bool any = false;
+    for (const auto& [name, story] : stories) {
+        if (argc > 1 && std::string(argv[1]) != name) continue;
+        any = true;
+        story();
+    }
+    return any ? 0 : 2;
 }
