The time left is told when a launch is written; old connections are of no use

(2) A new address or start of a server parted with idle connections only: launches that waited for a connection to the old one went there, and one that came back from a query under way could be kept. Connections now belong to one life of their server.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -203,17 +203,18 @@
     of_launch_[launch] = query;
     if (log_.writes(Weight::debug))
         tell(reading ? "launch to read" : "launch to write", query, launch, known_[to].name);
-    std::string message;
-    message.reserve(open.body.size() + 512);
-    message.append(open.method).append(" ").append(open.target).append(" HTTP/1.1\r\nHost: app.svc\r\n");
-    if (!open.content_type.empty()) message.append("Content-Type: ").append(open.content_type).append("\r\n");
-    message.append(platform::kIdHeader).append(": ").append(open.id).append("\r\n");
-    message.append(platform::kLeftHeader)
-        .append(": ")
-        .append(std::to_string(std::max<std::int64_t>(1, limit.us / 1000)));
-    message.append("\r\nContent-Length: ").append(std::to_string(open.body.size())).append("\r\n\r\n");
-    message.append(open.body);
-    servers_->send(to, launch, std::move(message), reading);
+    Servers::Call call;
+    call.reading = reading;
+    call.until = loop_.now() + limit;
+    std::string& head = call.before;
+    head.append(open.method).append(" ").append(open.target).append(" HTTP/1.1\r\nHost: app.svc\r\n");
+    if (!open.content_type.empty()) head.append("Content-Type: ").append(open.content_type).append("\r\n");
+    head.append(platform::kIdHeader).append(": ").append(open.id).append("\r\n");
+    head.append(platform::kLeftHeader).append(": ");
+    call.after.reserve(open.body.size() + 64);
+    call.after.append("\r\nContent-Length: ").append(std::to_string(open.body.size())).append("\r\n\r\n");
+    call.after.append(open.body);
+    servers_->send(to, launch, std::move(call));
 }
 
 void Node::send_read(LaunchId launch, ServerIndex to, QueryIndex query, Span limit) {
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -19,13 +19,13 @@
   public:
     enum class Use { none, launch, release };
 
-    Line(Servers& all, ServerIndex server, const Address& to, Instant born)
-        : all_(all), server_(server), born_(born) {
+    Line(Servers& all, ServerIndex server, const Address& to, std::uint32_t life)
+        : all_(all), server_(server), life_(life) {
         stream_ = Stream::dial(all.loop_, to, {0, kHeldBytes}, *this);
     }
 
     ServerIndex server() const { return server_; }
-    Instant born() const { return born_; }
+    std::uint32_t life() const { return life_; }
     Use use() const { return use_; }
     LaunchId launch() const { return launch_; }
     bool never_sent() const { return !stream_->made() || stream_->unsent() > 0; }
@@ -36,15 +36,15 @@
     // It was kept from an earlier launch, and nothing has come on it since.
     bool is_stale() const { return kept_ && !message_ && interim_ == 0; }
 
-    void carry(LaunchId launch, std::string message, bool reading) {
+    void carry(LaunchId launch, Call call) {
         use_ = Use::launch;
         launch_ = launch;
-        reading_ = reading;
-        begin(std::move(message));
+        reading_ = call.reading;
+        begin(std::move(call));
     }
     void carry_release(std::string message) {
         use_ = Use::release;
-        begin(std::move(message));
+        begin({std::move(message), "", {}, false});
     }
     void rest() {
         use_ = Use::none;
@@ -70,8 +70,7 @@
             all_.not_awaited(launch_);
             return all_.drop(*this, false);
         }
-        if (!first_.empty()) stream_->send(first_);
-        first_ = {};
+        write();
     }
     void bytes_came(Stream&) override { read(); }
     void stream_closed(Stream&, Closing why, const std::string& what) override {
@@ -83,15 +82,24 @@
     }
 
   private:
-    void begin(std::string message) {
+    void begin(Call call) {
+        call_ = std::move(call);
         interim_ = 0;
         begun_ = held_back_ = reusable_ = false;
         kept_ = stream_->made();
         body_ = {};
-        if (stream_->made())
-            stream_->send(message);
-        else
-            first_ = std::move(message);
+        if (stream_->made()) write();
+    }
+
+    // Against a time told that went by while the connection came up.
+    void write() {
+        const Call call = std::exchange(call_, {});
+        if (call.before.empty()) return;
+        stream_->send(call.before);
+        if (call.after.empty()) return;
+        const Span left = call.until - all_.loop_.now();
+        stream_->send(std::to_string(std::max<std::int64_t>(1, left.us / 1000)));
+        stream_->send(call.after);
     }
 
     void read() {
@@ -175,11 +183,11 @@
 
     Servers& all_;
     const ServerIndex server_;
-    const Instant born_;
+    const std::uint32_t life_;
     std::unique_ptr<Stream> stream_;
     Use use_ = Use::none;
     LaunchId launch_ = 0;
-    std::string first_;  // waits for the connection
+    Call call_;  // waits for the connection
     std::unique_ptr<http::Message> message_;
     std::unique_ptr<platform::Events> events_;
     std::string piece_, body_;
@@ -212,7 +220,9 @@
     door.text = address;
     door.born = born;
     door.known = true;
-    // Against connections to a process that is no more.
+    // Against connections to a process that is no more, also ones that have yet to come up.
+    ++door.life;
+    shun(server);
     while (!door.idle.empty()) drop(*door.idle.back(), false);
 }
 
@@ -238,17 +248,14 @@
 // The newest idle one, which is the likeliest to be alive; else a new one.
 Servers::Line* Servers::line_to(ServerIndex server) {
     Door& door = doors_.at(server);
-    while (!door.idle.empty()) {
+    if (!door.idle.empty()) {
         Line* line = door.idle.back();
         door.idle.pop_back();
-        if (line->born() == door.born) {
-            ++counts_.reused;
-            return line;
-        }
-        drop(*line, false);
+        ++counts_.reused;
+        return line;
     }
     if (lines_.size() >= bounds_.connections) make_room();
-    auto fresh = std::make_unique<Line>(*this, server, door.address, door.born);
+    auto fresh = std::make_unique<Line>(*this, server, door.address, door.life);
     Line* line = fresh.get();
     lines_.emplace(line, std::move(fresh));
     ++door.lines;
@@ -256,19 +263,20 @@
     return line;
 }
 
-void Servers::make_room() {
+bool Servers::make_room() {
     Line* oldest = nullptr;
     for (const Door& door : doors_)
         if (!door.idle.empty() && (!oldest || door.idle.front()->rested() < oldest->rested()))
             oldest = door.idle.front();
     if (oldest) drop(*oldest, false);
+    return oldest != nullptr;
 }
 
-void Servers::send(ServerIndex server, LaunchId launch, std::string message, bool reading) {
+void Servers::send(ServerIndex server, LaunchId launch, Call call) {
     if (!owner_.is_awaited(launch)) return not_awaited(launch);
     Line* line = line_to(server);
     out_[launch] = line;
-    line->carry(launch, std::move(message), reading);
+    line->carry(launch, std::move(call));
 }
 
 void Servers::call_off(LaunchId launch) {
@@ -356,7 +364,7 @@
 
 void Servers::rest(Line& line) {
     Door& door = doors_[line.server()];
-    if (!line.is_reusable() || door.gone || line.born() != door.born) {
+    if (!line.is_reusable() || door.gone || line.life() != door.life) {
         line.rest();
         return drop(line, false);
     }
@@ -400,6 +408,8 @@
         release.dead = true;
         return;
     }
+    // Not over the part of the descriptors that is the servers'; it is looked at again soon.
+    if (doors_[to].idle.empty() && lines_.size() >= bounds_.connections && !make_room()) return;
     if (release.tries++ > 0) ++counts_.releases_again;
     release.since = now;
     Line* line = line_to(to);
--- a/src/node/servers.h
+++ b/src/node/servers.h
@@ -55,7 +55,13 @@
     // Whether nothing is out or owed there, so that its index may name another.
     bool is_idle(ServerIndex server) const;
 
-    void send(ServerIndex server, LaunchId launch, std::string message, bool reading);
+    // What is left of its time is told when it is written, between the two parts of the message.
+    struct Call {
+        std::string before, after;
+        Instant until;
+        bool reading = false;
+    };
+    void send(ServerIndex server, LaunchId launch, Call call);
     void call_off(LaunchId launch);
     // True, and the owner is not told of its end: its last byte was not written yet.
     bool unsend(LaunchId launch);
@@ -82,6 +88,8 @@
         Address address;
         std::string text;
         Instant born;
+        std::uint32_t life =
+            0;  // of its process, or its address: connections to an earlier one are of no use
         bool known = false, gone = false;
         std::vector<Line*> idle;  // the newest last
         std::size_t lines = 0;
@@ -97,7 +105,7 @@
 
     Line* line_to(ServerIndex server);
     void drop(Line& line, bool reset);
-    void make_room();
+    bool make_room();
     void ended(Line& line, const Outcome& outcome);
     void lost(Line& line, bool never_sent, const std::string& what);
     void not_awaited(LaunchId launch);
--- a/tests/node/fleet_test.cpp
+++ b/tests/node/fleet_test.cpp
@@ -139,6 +139,67 @@
     w.at_rest();
 }
 
+// ---- launches
+
+// Connections to a process that is no more are of no use, also those that have yet to come up.
+void a_launch_that_waits_for_an_earlier_process_is_not_sent_there() {
+    World w;
+    const Deaf deaf;
+    w.platform.point("r1", deaf.address);
+    w.pass(ms(30));
+    auto c = w.client();
+    c->say(w.call("q"));
+    w.until("it waits", [&] { return w.node->servers().launches() == 1; });
+    // Under another address: what waits has never been sent, long before the connection's time is over.
+    w.platform.add("r1", Role::reader, "z", 1);
+    w.until(
+        "it waits no more",
+        [&] {
+            return w.node->desk().tally().endings[static_cast<std::size_t>(Ending::unreachable)] == 1 &&
+                   w.node->desk().tally().not_connected == 0;
+        },
+        ms(150));
+    w.until("an answer", [&] { return c->closed || c->whole() || c->status() == 503; });
+}
+
+// What is left is told when the launch is written, not when its connection was asked for.
+void the_time_left_is_told_as_it_is_when_the_launch_is_written() {
+    Loop loop;
+    struct Quiet : Servers::Owner {
+        void launch_over(LaunchId, const Outcome&, const std::string&) override {}
+        void events_came(LaunchId, std::string_view, std::size_t) override {}
+        bool is_awaited(LaunchId) const override { return true; }
+        bool is_wanted(const std::string&) const override { return false; }
+    } owner;
+    struct Taker : Stream::Owner {
+        std::string heard;
+        std::unique_ptr<Stream> stream;
+        void bytes_came(Stream& s) override {
+            heard.append(s.pull(s.held()));
+            s.drain(s.held());
+        }
+        void stream_closed(Stream&, Closing, const std::string&) override {}
+    } taker;
+    Servers servers(loop, {}, owner);
+    Listener listener(loop, Address::parse("127.0.0.1:0"), [&](int fd) {
+        taker.stream = Stream::accepted(loop, fd, {0, 0}, taker);
+    });
+    servers.learn(0, listener.address().text(), {});
+    servers.send(0, 1,
+                 {"POST / HTTP/1.1\r\nX-Time-Left-Ms: ", "\r\nContent-Length: 0\r\n\r\n",
+                  loop.now() + ms(1000), true});
+    // The loop is busy with something else while the connection comes up.
+    for (const Instant from = loop.now(); loop.now() - from < ms(200);) continue;
+    Timer look(loop, [&] {
+        if (taker.heard.find("\r\n\r\n") != std::string::npos) return loop.stop();
+        look.set(ms(5));
+    });
+    look.set(ms(5));
+    loop.run();
+    const int left = std::atoi(taker.heard.c_str() + taker.heard.find(": ") + 2);
+    assert(left > 0 && left <= 800);
+}
+
 // ---- the end
 
 void calls_behind_the_open_one_are_served_at_a_stop() {
@@ -220,6 +281,10 @@
         {"a_call_whose_client_has_gone_is_not_sent_on", a_call_whose_client_has_gone_is_not_sent_on},
         {"a_client_that_leaves_behind_much_that_it_sent_is_seen_to_go",
          a_client_that_leaves_behind_much_that_it_sent_is_seen_to_go},
+        {"a_launch_that_waits_for_an_earlier_process_is_not_sent_there",
+         a_launch_that_waits_for_an_earlier_process_is_not_sent_there},
+        {"the_time_left_is_told_as_it_is_when_the_launch_is_written",
+         the_time_left_is_told_as_it_is_when_the_launch_is_written},
         {"calls_behind_the_open_one_are_served_at_a_stop", calls_behind_the_open_one_are_served_at_a_stop},
         {"a_resting_connection_ends_in_good_order_at_a_stop",
          a_resting_connection_ends_in_good_order_at_a_stop},
