A beginning's homes follow what was met before it and how alike queries begin

Now a text's part is what was met before it, leaning with the weight of 16 queries towards how often two queries met here begin alike.

--- a/src/core/rules.cpp
+++ b/src/core/rules.cpp
@@ -27,8 +27,10 @@
 constexpr double kScatter = 2.0;    // mean deviations of reported loads
 constexpr double kLeaveCost = 2.0;  // times the tokens read anew that a shorter queue must save
 constexpr double kReaderTie = 0.25, kHomesPart = 2.0;  // typical prompts; homes for each reader kept busy
-constexpr double kFewArrivals = 4.0, kReadStretch = 2.0, kLeastPart = 1e-9;
-constexpr double kWriterTie = 3.0;  // streams of the size in hand; wider ties lose under overload
+constexpr double kFewArrivals = 16.0, kReadStretch = 2.0, kLeastPart = 1e-9;
+constexpr double kAlikeBefore = 0.5,
+                 kPairsBefore = 8.0;  // queries that begin alike, before any have been met
+constexpr double kWriterTie = 3.0;    // streams of the size in hand; wider ties lose under overload
 constexpr Span kWeighEvery = kMs * 1000;
 
 // Health. Evidence is weighed as odds: how often an ill server fails, how often one must be thought to fail
@@ -254,12 +256,10 @@
     bool cold = false;
     for (ServerIndex s = 0; s < servers_; ++s) {
         if (!ready(s)) continue;
-        if (is_cold(s)) {
-            cold = true;
-        } else {
-            warm_readers += reads(s);
-            warm_writers += writes(s);
-        }
+        const bool warm = !is_cold(s);
+        cold |= !warm;
+        warm_readers += warm && reads(s);
+        warm_writers += warm && writes(s);
     }
     if (!cold) return;
     for (ServerIndex s = 0; s < servers_; ++s) {
@@ -471,11 +471,8 @@
 }
 
 std::size_t Rules::home_place(const Query& q, double readers) const {
-    if (q.facts.beginning == 0) return 0;
-    const auto it = popularity_.find(q.facts.beginning);
-    const double level = it == popularity_.end() ? 0.0 : it->second.first;
-    const double homes = std::max(1.0, level / (arrivals_ + kFewArrivals) * readers * kHomesPart);
-    return static_cast<std::size_t>(unit(mixed(q.facts.session)) * homes);
+    const double homes = std::max(1.0, q.part * readers * kHomesPart);
+    return q.facts.beginning == 0 ? 0 : static_cast<std::size_t>(unit(mixed(q.facts.session)) * homes);
 }
 
 // What was compared, for whoever keeps a trace of it. Nothing here depends on that.
@@ -735,13 +732,21 @@
     learn(work_, stream_estimate(q));
     refill_cold();
     if (host_.now() - weighed_at_ > kWeighEvery) weigh_cells();
-    arrivals_ += 1;
     if (facts.beginning != 0) {
+        // Its part of the traffic, of which a gateway among many sees little: what was met before, leaning
+        // towards how often two queries begin alike. Counting itself would give each text met once many
+        // homes.
         if (popularity_.size() >= kTextsKept) popularity_.clear();
         auto& [level, at] = popularity_[facts.beginning];
-        level = level * std::exp(-seconds(q.came - at) / kRateWindowS) + 1;
+        level *= std::exp(-seconds(q.came - at) / kRateWindowS);
+        alike_ += level;
+        pairs_ += arrivals_;
+        const double usual = (alike_ + kAlikeBefore) / (pairs_ + kPairsBefore);
+        q.part = (level + kFewArrivals * usual) / (arrivals_ + kFewArrivals);
+        level += 1;
         at = q.came;
     }
+    arrivals_ += 1;
     // A shade before the client leaves, so that the answer is there in time however the batches fall.
     host_.set_timer(std::max(Span{0}, facts.budget - terms_.quantum),
                     kQueryKeys + (TimerKey{i} << 30) + serial % (1U << 30));
@@ -1100,8 +1105,7 @@
 }
 
 void Rules::watch_on() {
-    if (watch_set_ || !terms_.cancel) return;
-    watch_set_ = true;
+    if (!terms_.cancel || std::exchange(watch_set_, true)) return;
     host_.set_timer(std::max(kWatchEvery, terms_.quantum), kWatchKey);
 }
 
@@ -1133,11 +1137,7 @@
         }
         if (host_.now() - q.sent < std::max(kMs * far, (q.goal - q.came) * kSilentGoal)) continue;
         q.called_off = true;
-        if (lives) {
-            unanswered(q.facts.category, s, true);
-        } else {
-            note_bad(s);
-        }
+        lives ? unanswered(q.facts.category, s, true) : note_bad(s);
         if (q.at_reader || (c.effect == Effect::pure && c.stream)) host_.retract(i, q.launches - 1);
     }
     if (out) watch_on();
--- a/src/core/rules.h
+++ b/src/core/rules.h
@@ -82,6 +82,7 @@
     std::uint32_t state_life = 0;
     Instant parked_since, sent;
     double read_tokens = 0, stream_tokens = 0, queued_tokens = 0;
+    double part = 0;  // of the traffic that begins like it, as met here
     std::vector<ServerIndex> avoid;
     Ending last = Ending::read;  // of the launch before
     bool answer_lost = false;
@@ -254,6 +255,7 @@
     Learned work_;
     double strain_ = 0;
     double reads_done_ = 0, writes_done_ = 0, arrivals_ = 0;
+    double alike_ = 0, pairs_ = 0;  // of queries met one after the other, with the same beginning and in all
     Instant counted_at_;
     std::vector<std::vector<Mute>> mutes_;  // by category
     std::array<std::vector<Instant>, 2>
--- a/tests/core/rules_test.cpp
+++ b/tests/core/rules_test.cpp
@@ -110,6 +110,47 @@
     assert(std::count(used.begin(), used.end(), true) >= 4);
 }
 
+// A gateway among many meets most texts once: counting that alone would scatter a text that is one of
+// hundreds over as many readers as one that is one of a few.
+void text_among_many_keeps_few_homes_and_one_of_a_few_gets_more() {
+    for (const bool few : {false, true}) {
+        std::vector<std::vector<bool>> at(200, std::vector<bool>(20, false));
+        std::minstd_rand chance(5);
+        for (int gateway = 0; gateway < 60; ++gateway) {
+            Story t;
+            t.list.clear();
+            for (ServerIndex s = 0; s < 40; ++s) {
+                Listing l;
+                l.server = s;
+                l.kind = s < 20 ? 0 : 1;
+                l.mark = s + 1;
+                t.list.push_back(l);
+            }
+            t.start();
+            for (int n = 0; n < 12; ++n) {
+                t.pass(ms(500));
+                Arrival a;
+                a.prompt_tokens = 1000;
+                a.beginning = 1 + chance() % (few ? 4 : 200);
+                a.beginning_tokens = 800;
+                a.session = chance();
+                a.most_tokens = 200;
+                a.budget = ms(5000);
+                const QueryIndex q = t.next++;
+                t.rules->query_arrived(q, a);
+                at[a.beginning - 1][t.last().server] = true;
+                t.ended(q, Ending::read);
+                t.settle(q);
+            }
+        }
+        double readers = 0, texts = 0;
+        for (const auto& text : at)
+            if (const auto n = std::count(text.begin(), text.end(), true); n > 0)
+                readers += static_cast<double>(n), ++texts;
+        few ? assert(readers / texts > 8) : assert(readers / texts < 2);
+    }
+}
+
 void cell_with_few_writers_keeps_only_what_they_can_take() {
     Story t;
     t.list = {{0, 0, 0, 0, {}, Standing::ready}, {1, 0, 0, 0, {}, Standing::ready},
@@ -927,6 +968,7 @@
     same_report_again_does_not_wipe_own_streams();
     kept_text_draws_a_session_back_within_one_prompt();
     text_has_the_same_home_at_gateways_that_never_met_it();
+    text_among_many_keeps_few_homes_and_one_of_a_few_gets_more();
     cell_with_few_writers_keeps_only_what_they_can_take();
     hold_is_before_the_read_while_no_writer_shows_room();
     full_writers_hold_reads_for_a_second_and_a_lost_state_does_not();
