A discovery that takes up to a second for its list is heard

Now as many calls may be open as fit into the time of the first (17). Test: whole lists that take 900 ms, known within 2.5 s; fails on the old code.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -18,6 +18,8 @@
 // other in less than the shortest grace of a drain, and none is given up for the next, so that a slow one is
 // heard.
 constexpr int kAgainLeastMs = 60, kAgainMostMs = 120;
+// As many as can be open before the first of them is through: no more connections than that at once.
+constexpr std::size_t kMostCalls = kAnswerWithin.us / 1000 / kAgainLeastMs + 1;
 constexpr std::uint64_t kMostList = 256 << 10;
 constexpr std::size_t kHeldBytes = 64 << 10;
 
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -20,9 +20,6 @@
   public:
     using Told = std::function<void(const platform::News&)>;
 
-    // The most connections that it holds at once.
-    static constexpr std::size_t kMostCalls = 8;
-
     Discovery(Loop& loop, Told told, std::function<void()> missed, std::uint32_t seed, Log& log);
     ~Discovery();
 
--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -205,7 +205,9 @@
             waits_ = after != std::string::npos;
             after_ = waits_ ? std::strtoull(target.c_str() + after + 6, nullptr, 10) : 0;
             if (all_.silent_ || mute_) return;
-            if (!waits_ || after_ < all_.index_ || !all_.odd_lists_.empty()) {
+            if (!waits_ && all_.list_takes_.us > 0) {
+                wait_.set(all_.list_takes_);
+            } else if (!waits_ || after_ < all_.index_ || !all_.odd_lists_.empty()) {
                 tell();
             } else {
                 const std::int64_t ms = wait == std::string::npos ? 0 : std::atoll(target.c_str() + wait + 8);
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -74,6 +74,8 @@
     // The answer to the next call to discovery, in place of the list.
     void next_list(const std::string& body) { odd_lists_.push_back(body); }
     void discovery_is_silent(bool silent) { silent_ = silent; }
+    // Whole lists come so long after they were asked for.
+    void whole_lists_take(Span time) { list_takes_ = time; }
     // Its port refuses connections, and open ones are reset.
     void discovery_is_down(bool down);
     // Of the calls that are open now: none is ever answered, or each is reset.
@@ -115,6 +117,7 @@
     std::vector<std::pair<std::uint64_t, std::string>> changes_;
     std::deque<std::string> odd_lists_;
     bool silent_ = false;
+    Span list_takes_;
     std::map<Line*, std::unique_ptr<Line>> lines_;
     std::map<Watcher*, std::unique_ptr<Watcher>> watchers_;
     std::unique_ptr<Listener> discovery_;  // null: down
--- a/tests/node/fleet_test.cpp
+++ b/tests/node/fleet_test.cpp
@@ -11,6 +11,28 @@
 
 namespace {
 
+// A socket of its own, so that what it sends lies in the system, not yet come to by the loop.
+struct RawClient {
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    explicit RawClient(const Address& to) {
+        sockaddr_storage raw{};
+        const int length = to.fill(&raw);
+        assert(connect(fd, reinterpret_cast<sockaddr*>(&raw), static_cast<socklen_t>(length)) == 0);
+        fcntl(fd, F_SETFL, O_NONBLOCK);
+    }
+    ~RawClient() { close(fd); }
+    void say(const std::string& text) const {
+        assert(write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+    }
+    // All that has come; -1: the connection was reset. `ended`: its end has come.
+    std::ptrdiff_t hear(bool& ended, std::size_t most = 1 << 20) const {
+        std::string bytes(most, 0);
+        const ssize_t n = read(fd, bytes.data(), bytes.size());
+        ended = n == 0;
+        return n >= 0 ? n : errno == EAGAIN ? 0 : -1;
+    }
+};
+
 // ---- discovery
 
 // The agent has the list the moment it is back, and a drain leaves a quarter of a second.
@@ -37,6 +59,17 @@
     assert(w.ask()->whole());
 }
 
+// An agent that takes long for its list is heard all the same: no call is given up for the next.
+void a_slow_discovery_is_heard() {
+    World w;
+    w.pass(ms(30));
+    w.platform.whole_lists_take(ms(900));
+    w.platform.watches_are_reset();
+    w.platform.add("w9", Role::writer, "z", 1);
+    w.until(
+        "it is known", [&] { return w.node->knows("w9"); }, ms(2500));
+}
+
 void a_watch_that_is_reset_is_opened_anew_at_once() {
     World w;
     w.pass(ms(30));
@@ -106,43 +139,14 @@
 // A client's close may lie behind its call, and behind whatever else the loop has to do.
 void a_call_whose_client_has_gone_is_not_sent_on() {
     World w;
-    const Address at = w.node->address();
     for (const bool more : {false, true}) {
-        sockaddr_storage raw{};
-        const int length = at.fill(&raw);
-        const int fd = socket(AF_INET, SOCK_STREAM, 0);
-        assert(connect(fd, reinterpret_cast<sockaddr*>(&raw), static_cast<socklen_t>(length)) == 0);
-        const std::string call = w.call(w.fresh()) + (more ? w.call(w.fresh()) : "");
-        assert(write(fd, call.data(), call.size()) == static_cast<ssize_t>(call.size()));
-        close(fd);
+        RawClient(w.node->address()).say(w.call(w.fresh()) + (more ? w.call(w.fresh()) : ""));
         w.pass(ms(100));
     }
     assert(w.platform.heard().empty() && w.node->desk().tally().left == 2);
     w.at_rest();
 }
 
-// A socket of its own, so that what it sends lies in the system, not yet come to by the loop.
-struct RawClient {
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    explicit RawClient(const Address& to) {
-        sockaddr_storage raw{};
-        const int length = to.fill(&raw);
-        assert(connect(fd, reinterpret_cast<sockaddr*>(&raw), static_cast<socklen_t>(length)) == 0);
-        fcntl(fd, F_SETFL, O_NONBLOCK);
-    }
-    ~RawClient() { close(fd); }
-    void say(const std::string& text) const {
-        assert(write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
-    }
-    // All that has come; -1: the connection was reset. `ended`: its end has come.
-    std::ptrdiff_t hear(bool& ended, std::size_t most = 1 << 20) const {
-        std::string bytes(most, 0);
-        const ssize_t n = read(fd, bytes.data(), bytes.size());
-        ended = n == 0;
-        return n >= 0 ? n : errno == EAGAIN ? 0 : -1;
-    }
-};
-
 void a_client_that_leaves_behind_much_that_it_sent_is_seen_to_go() {
     standin::Platform::Shape slow;
     slow.read = ms(600);
@@ -326,6 +330,7 @@
     const std::pair<const char*, void (*)()> stories[] = {
         {"a_list_is_known_the_moment_discovery_is_back", a_list_is_known_the_moment_discovery_is_back},
         {"a_watch_that_falls_silent_is_opened_anew", a_watch_that_falls_silent_is_opened_anew},
+        {"a_slow_discovery_is_heard", a_slow_discovery_is_heard},
         {"a_watch_that_is_reset_is_opened_anew_at_once", a_watch_that_is_reset_is_opened_anew_at_once},
         {"a_discovery_that_refuses_is_followed_once_it_is_back",
          a_discovery_that_refuses_is_followed_once_it_is_back},
