Clients' end-to-end fields reach the model servers

Ruled out: class names, tenants, limits (the first request already failed, at the first gateway). Now all fields but the hop-by-hop ones, framing and the time left are passed on (RFC 9110, 7.6.1). Test: node_forwarding, fails without.

Also, with its own tests: bytes on a resting pooled connection were kept and parsed as the answer to the next request (Line::bytes_came returned without a word while nothing was out), so a late second answer would have been served to another client; a connection that had ended in the moment it was taken cost an attempt. Servers::take_idle now asks the system. Tests: node_retries.PooledConnection.*, each failed before.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -138,6 +138,13 @@
     return poll(&at, 1, 0) == 1 && (at.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+bool Stream::is_quiet() const {
+    if (closed_ || !made_ || held() > 0) return false;
+    char next = 0;
+    const ssize_t there = recv(bufferevent_getfd(events_), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return there < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+}
+
 void Stream::pause_reading(bool pause) {
     if (pause)
         bufferevent_disable(events_, EV_READ);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "http/forwarding.h"
+
 namespace copperfront {
 namespace {
 
@@ -137,7 +139,8 @@
     open.method = head.method;
     open.target = head.target;
     open.body = std::move(body);
-    if (const std::string* type = head.find("Content-Type")) open.content_type = *type;
+    // Whatever a client adds belongs to the model server as well, such as the key by which it knows a repeat.
+    open.forwarded_fields = http::end_to_end_fields(head, platform::kLeftHeader);
     open.used = true;
     by_id_[open.id] = query;
     by_client_[client] = query;
@@ -208,8 +211,7 @@
     call.until = loop_.now() + limit;
     std::string& head = call.before;
     head.append(open.method).append(" ").append(open.target).append(" HTTP/1.1\r\nHost: app.svc\r\n");
-    if (!open.content_type.empty()) head.append("Content-Type: ").append(open.content_type).append("\r\n");
-    head.append(platform::kIdHeader).append(": ").append(open.id).append("\r\n");
+    head.append(open.forwarded_fields);
     head.append(platform::kLeftHeader).append(": ");
     call.after.reserve(open.body.size() + 64);
     call.after.append("\r\nContent-Length: ").append(std::to_string(open.body.size())).append("\r\n\r\n");
@@ -299,6 +301,7 @@
         open.state = 0;
         // Nothing is sent for it any more.
         open.body = {};
+        open.forwarded_fields = {};
         fronts_->begin_stream(open.client);
     }
     if (!fronts_->pass_on(open.client, events)) servers_->hold_back(launch, true);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -44,7 +44,8 @@
   private:
     struct Open {
         ClientId client = 0;
-        std::string id, method, target, body, content_type;
+        std::string id, method, target, body;
+        std::string forwarded_fields;  // header lines that go on to the model server as they came
         bool used = false, streams = false;
         std::uint32_t out = 0;  // launches that are
         LaunchId state = 0;     // a read that ended well, whose state nobody has taken yet
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -64,6 +64,8 @@
         });
     }
     bool is_reusable() const { return reusable_ && stream_->held() == 0; }
+    // Nothing has come on it while it rested.
+    bool is_quiet() const { return stream_->is_quiet(); }
 
     void stream_made(Stream&) override {
         if (use_ == Use::launch && !all_.owner_.is_awaited(launch_)) {
@@ -72,7 +74,11 @@
         }
         write();
     }
-    void bytes_came(Stream&) override { read(); }
+    void bytes_came(Stream&) override {
+        // Against a second answer that comes late: the next request would take it for its own.
+        if (use_ == Use::none) return all_.drop(*this, false);
+        read();
+    }
     void stream_closed(Stream&, Closing why, const std::string& what) override {
         if (use_ == Use::none) return all_.drop(*this, false);
         const bool unsent = why == Closing::not_made || never_sent();
@@ -245,12 +251,23 @@
     return server >= doors_.size() || doors_[server].lines == 0;
 }
 
-// The newest idle one, which is the likeliest to be alive; else a new one.
+// The newest idle one, which is the likeliest to be alive. Against bytes or an end that have come in the very
+// moment in which it is taken, the system is asked: such a connection is no longer of use. Null: there is none.
+Servers::Line* Servers::take_idle(Door& door) {
+    while (!door.idle.empty()) {
+        Line* line = door.idle.back();
+        if (line->is_quiet()) {
+            door.idle.pop_back();
+            return line;
+        }
+        drop(*line, false);
+    }
+    return nullptr;
+}
+
 Servers::Line* Servers::line_to(ServerIndex server) {
     Door& door = doors_.at(server);
-    if (!door.idle.empty()) {
-        Line* line = door.idle.back();
-        door.idle.pop_back();
+    if (Line* line = take_idle(door)) {
         ++counts_.reused;
         return line;
     }
--- a/src/node/servers.h
+++ b/src/node/servers.h
@@ -104,6 +104,7 @@
     };
 
     Line* line_to(ServerIndex server);
+    Line* take_idle(Door& door);
     void drop(Line& line, bool reset);
     bool make_room();
     void ended(Line& line, const Outcome& outcome);
--- a/tests/node/fleet_test.cpp
+++ b/tests/node/fleet_test.cpp
@@ -1,9 +1,7 @@
 // The gateway among many: what discovery, restarts, clients that leave and servers out of reach ask of it.
-#include <fcntl.h>
-
 #include <algorithm>
-#include <cerrno>
 
+#include "raw_client.h"
 #include "world.h"
 
 using namespace copperfront;
@@ -11,28 +9,6 @@
 
 namespace {
 
-// A socket of its own, so that what it sends lies in the system, not yet come to by the loop.
-struct RawClient {
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-    explicit RawClient(const Address& to) {
-        sockaddr_storage raw{};
-        const int length = to.fill(&raw);
-        assert(connect(fd, reinterpret_cast<sockaddr*>(&raw), static_cast<socklen_t>(length)) == 0);
-        fcntl(fd, F_SETFL, O_NONBLOCK);
-    }
-    ~RawClient() { close(fd); }
-    void say(const std::string& text) const {
-        assert(write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
-    }
-    // All that has come; -1: the connection was reset. `ended`: its end has come.
-    std::ptrdiff_t hear(bool& ended, std::size_t most = 1 << 20) const {
-        std::string bytes(most, 0);
-        const ssize_t n = read(fd, bytes.data(), bytes.size());
-        ended = n == 0;
-        return n >= 0 ? n : errno == EAGAIN ? 0 : -1;
-    }
-};
-
 // ---- discovery
 
 // The agent has the list the moment it is back, and a drain leaves a quarter of a second.
@@ -140,7 +116,10 @@
 void a_call_whose_client_has_gone_is_not_sent_on() {
     World w;
     for (const bool more : {false, true}) {
-        RawClient(w.node->address()).say(w.call(w.fresh()) + (more ? w.call(w.fresh()) : ""));
+        {
+            RawClient client(w.node->address());
+            client.say(w.call(w.fresh()) + (more ? w.call(w.fresh()) : ""));
+        }
         w.pass(ms(100));
     }
     assert(w.platform.heard().empty() && w.node->desk().tally().left == 2);
@@ -201,8 +180,8 @@
 // Connections to a process that is no more are of no use, also those that have yet to come up.
 void a_launch_that_waits_for_an_earlier_process_is_not_sent_there() {
     World w;
-    const Deaf deaf;
-    w.platform.point("r1", deaf.address);
+    const StalledListener stalled;
+    w.platform.point("r1", stalled.address());
     w.pass(ms(30));
     auto c = w.client();
     c->say(w.call("q"));
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -84,8 +84,8 @@
 
 void a_connection_that_never_comes_up_was_never_sent() {
     World w;
-    const Deaf deaf;
-    w.platform.point("r1", deaf.address);
+    const StalledListener stalled;
+    w.platform.point("r1", stalled.address());
     w.pass(ms(30));
     auto c = w.ask("700");
     assert(c->status() == 503 || c->status() == 504);
--- /dev/null
+++ b/tests/node/scripted_server.h
@@ -0,0 +1,131 @@
+// A server that answers only on command, byte by byte if a test wants it. It stands in for a model server or
+// for discovery where a test has to hold the server's side at a known point.
+#pragma once
+
+#include <cassert>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/message.h"
+#include "net/link.h"
+#include "net/stream.h"
+
+namespace copperfront {
+
+class ScriptedServer {
+  public:
+    using ConnectionId = std::size_t;
+
+    struct Request {
+        ConnectionId connection = 0;
+        http::Head head;
+        std::string body;
+        Instant received_at;
+    };
+
+    explicit ScriptedServer(Loop& loop)
+        : loop_(loop), listener_(loop, Address::parse("127.0.0.1:0"), [this](int fd) { accept(fd); }) {}
+
+    std::string address() const { return listener_.address().text(); }
+    // Whole requests in the order in which their last bytes came.
+    const std::vector<Request>& requests() const { return requests_; }
+    std::size_t count(const std::string& method) const {
+        std::size_t n = 0;
+        for (const Request& request : requests_) {
+            n += request.head.method == method;
+        }
+        return n;
+    }
+    std::size_t accepted() const { return next_; }
+    bool is_open(ConnectionId id) const { return connections_.count(id) > 0; }
+
+    void send(ConnectionId id, const std::string& bytes) { connections_.at(id)->stream->send(bytes); }
+    void pause_reading(ConnectionId id, bool pause) { connections_.at(id)->stream->pause_reading(pause); }
+    // Ends the connection in good order, after what was sent.
+    void close(ConnectionId id) { Stream::hand_off(loop_, take(id), true); }
+    void reset(ConnectionId id) { Stream::reset(loop_, take(id)); }
+
+  private:
+    struct Connection : Stream::Owner {
+        ScriptedServer* server = nullptr;
+        ConnectionId id = 0;
+        std::unique_ptr<Stream> stream;
+        std::unique_ptr<http::Message> message;
+        std::string body;
+
+        void bytes_came(Stream& s) override {
+            while (s.held() > 0) {
+                if (!message) {
+                    message = std::make_unique<http::Message>(
+                        http::Sort::call, http::Bounds{65536, 1 << 20},
+                        [this](std::string_view piece) { body.append(piece); });
+                }
+                const std::size_t taken = message->take(s.front());
+                s.drain(taken);
+                if (message->trouble() != http::Trouble::none) return s.drain(s.held());
+                if (!message->done()) continue;
+                server->requests_.push_back(
+                    {id, message->head(), std::exchange(body, {}), server->loop_.now()});
+                message.reset();
+            }
+        }
+        void stream_closed(Stream&, Closing, const std::string&) override {
+            Stream::hand_off(server->loop_, server->take(id), false);
+        }
+    };
+
+    void accept(int fd) {
+        auto connection = std::make_unique<Connection>();
+        connection->server = this;
+        connection->id = next_++;
+        connection->stream = Stream::accepted(loop_, fd, {0, 0}, *connection);
+        connections_.emplace(connection->id, std::move(connection));
+    }
+    std::unique_ptr<Stream> take(ConnectionId id) {
+        const auto it = connections_.find(id);
+        assert(it != connections_.end());
+        std::unique_ptr<Stream> stream = std::move(it->second->stream);
+        loop_.bury(std::move(it->second));
+        connections_.erase(it);
+        return stream;
+    }
+
+    Loop& loop_;
+    Listener listener_;
+    ConnectionId next_ = 0;
+    std::map<ConnectionId, std::unique_ptr<Connection>> connections_;
+    std::vector<Request> requests_;
+};
+
+// Answers of the platform's protocol.
+
+inline std::string response_of(int status, const std::string& fields, const std::string& body) {
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+inline std::string prefill_response() {
+    return response_of(202, "Content-Type: application/json\r\n", R"({"cached_tokens":8})");
+}
+inline std::string chunk_of(const std::string& text) {
+    char size[24];
+    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+    return size + text + "\r\n";
+}
+inline std::string event_of(const std::string& content) {
+    return chunk_of(R"(data: {"choices":[{"index":0,"delta":{"content":")" + content +
+                    R"("},"finish_reason":null}]})" + "\n\n");
+}
+inline std::string stream_start() {
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+inline std::string stream_end() {
+    return chunk_of("data: {\"choices\":[],\"usage\":{\"completion_tokens\":1}}\n\n") +
+           chunk_of("data: [DONE]\n\n") + "0\r\n\r\n";
+}
+inline std::string whole_stream(const std::string& content) {
+    return stream_start() + event_of(content) + stream_end();
+}
+
+}  // namespace copperfront
--- a/tests/node/world.h
+++ b/tests/node/world.h
@@ -1,15 +1,12 @@
 // The gateway on the platform in one loop with stand-ins of its clients, model servers and discovery.
 #pragma once
 
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <cassert>
 #include <cstdio>
 #include <cstdlib>
 
 #include "node/node.h"
+#include "stalled_peers.h"
 #include "standin/platform.h"
 
 namespace copperfront {
@@ -119,8 +116,12 @@
             "time", [&] { return loop.now() >= end; }, span + ms(5000));
     }
     std::string call(const std::string& id, const std::string& left = "2000", const std::string& more = "") {
+        return call_with_content(id, "hello there", left, more);
+    }
+    std::string call_with_content(const std::string& id, const std::string& content,
+                                  const std::string& left = "2000", const std::string& more = "") {
         const std::string body =
-            R"({"model":"chat","stream":true,"messages":[{"role":"user","content":"hello there"}]})";
+            R"({"model":"chat","stream":true,"messages":[{"role":"user","content":")" + content + R"("}]})";
         return "POST /v1/chat/completions?x=1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: " + id +
                "\r\nX-Service-Class: help\r\nX-Account: acme\r\nX-Session-Key: s\r\nX-Time-Left-Ms: " + left +
                "\r\nX-Facts: prompt_len=20,max_out=50\r\nContent-Type: application/json\r\n" + more +
@@ -143,30 +144,4 @@
     }
 };
 
-// A machine that is cut off: a connection to it never comes up. Its listener's queue is full, so the system
-// drops what would open another one.
-struct Deaf {
-    int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    std::vector<int> fillers;
-    std::string address;
-
-    Deaf() {
-        sockaddr_in at{};
-        at.sin_family = AF_INET;
-        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof at;
-        assert(bind(listener, reinterpret_cast<sockaddr*>(&at), length) == 0 && listen(listener, 0) == 0);
-        getsockname(listener, reinterpret_cast<sockaddr*>(&at), &length);
-        address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
-        for (int n = 0; n < 4; ++n) {
-            fillers.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-            (void)connect(fillers.back(), reinterpret_cast<sockaddr*>(&at), length);
-        }
-    }
-    ~Deaf() {
-        for (const int fd : fillers) close(fd);
-        close(listener);
-    }
-};
-
 }  // namespace copperfront
