A release waits while another attempt of its request follows

Ruled out: the second release a quarter of a second later (a log line of each release showed none between), hand-overs to servers that never had the state (after reads that were cut off, not hung, the second state was there). Cause: Servers::release told at once the very server that hangs, where it lies until after the next read has begun, and a release takes whatever is held for the request. Tests: node_release.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -108,7 +108,7 @@
     terms_ = std::move(terms);
     servers_->change(idle_of(terms_), terms_.core.release_within);
     desk_->terms_changed(terms_.core, std::vector<RouteLimits>{limits()});
-    if (!stopping_) discovery_->follow(terms_.discovery);
+    if (!ended_) discovery_->follow(terms_.discovery);
     log_.say(Weight::info, "node", "new terms hold", {{"discovery", terms_.discovery}});
 }
 
@@ -249,7 +249,11 @@
     Open& open = open_[it->second];
     const bool held = open.state == state;
     if (held) open.state = 0;
-    servers_->release(at, open.id, !held);
+    const auto still_open = by_id_.find(open.id);
+    Servers::ReleaseOrder order;
+    order.unsure = !held;
+    order.may_be_followed = still_open != by_id_.end() && still_open->second == it->second;
+    servers_->release(at, open.id, order);
 }
 
 bool Node::is_wanted(const std::string& id) const {
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -393,18 +393,31 @@
 
 // ---- releases
 
-void Servers::release(ServerIndex server, const std::string& id, bool unsure) {
+void Servers::release(ServerIndex server, const std::string& id, const ReleaseOrder& order) {
     if (releases_.size() >= kMostOwed) return;
     auto release = std::make_unique<Release>();
     release->id = id;
-    release->server = server;
-    release->unsure = unsure;
+    release->server = order.unsure ? other_than(server) : server;
+    release->unsure = order.unsure;
+    if (order.may_be_followed) release->not_before = loop_.now() + kLookEvery;
     release->until = loop_.now() + bounds_.release_within;
     ++counts_.releases;
     releases_.push_back(std::move(release));
     go_on(*releases_.back());
 }
 
+bool Servers::may_be_told(ServerIndex server) const {
+    return server < doors_.size() && doors_[server].known && !doors_[server].gone;
+}
+
+ServerIndex Servers::other_than(ServerIndex server) {
+    for (std::size_t n = 0; n < doors_.size(); ++n) {
+        const ServerIndex other = next_other_++ % static_cast<ServerIndex>(doors_.size());
+        if (other != server && may_be_told(other)) return other;
+    }
+    return server;
+}
+
 void Servers::go_on(Release& release) {
     const Instant now = loop_.now();
     if (release.line || release.dead || now < release.not_before) return;
@@ -419,11 +432,8 @@
         release.dead = true;
         return;
     }
-    ServerIndex to = release.server;
-    for (std::size_t n = 0;
-         n < doors_.size() && (to >= doors_.size() || !doors_[to].known || doors_[to].gone); ++n)
-        to = next_other_++ % static_cast<ServerIndex>(doors_.size());
-    if (to >= doors_.size() || !doors_[to].known || doors_[to].gone) {
+    const ServerIndex to = may_be_told(release.server) ? release.server : other_than(release.server);
+    if (!may_be_told(to)) {
         release.dead = true;
         return;
     }
@@ -445,9 +455,7 @@
         // Against a read that ends well after all, just as its connection closed or broke.
         mine->dead = well && !std::exchange(mine->unsure, false);
         if (well && !mine->dead) mine->not_before = loop_.now() + bounds_.release_answer;
-        // Another server is told next.
-        if (!well)
-            mine->server = next_other_++ % static_cast<ServerIndex>(std::max<std::size_t>(1, doors_.size()));
+        if (!well) mine->server = other_than(mine->server);
     }
     if (well) rest(line);
 }
--- a/src/node/servers.h
+++ b/src/node/servers.h
@@ -73,10 +73,16 @@
     bool unsend(LaunchId launch);
     // The answer's events wait while this is so.
     void hold_back(LaunchId launch, bool hold);
+    struct ReleaseOrder {
+        // The read may yet leave a state, as its end was not heard; so it is told once more a while later, and
+        // first to another server than the one that was not heard.
+        bool unsure = false;
+        // Another attempt may follow at once, and what is told now could take the state that it leaves.
+        bool may_be_followed = false;
+    };
     // Told to the server that may hold something of the query; where that can't be reached, to another one,
-    // as each lets go at all of them. `unsure`: the read may yet leave a state, as its end was not heard; so
-    // it is told once more a while later.
-    void release(ServerIndex server, const std::string& id, bool unsure);
+    // as each lets go at all of them.
+    void release(ServerIndex server, const std::string& id, const ReleaseOrder& order);
     std::size_t owed() const { return releases_.size(); }
 
     std::size_t size() const { return lines_.size(); }
@@ -117,6 +123,8 @@
     void lost(Line& line, bool never_sent, const std::string& what);
     void not_awaited(LaunchId launch);
     void rest(Line& line);
+    bool may_be_told(ServerIndex server) const;
+    ServerIndex other_than(ServerIndex server);
     void go_on(Release& release);
     void released(Line& line, bool well);
     void look();
--- /dev/null
+++ b/tests/node/release_test.cpp
@@ -0,0 +1,48 @@
+// States that a read may have left behind are released, and never the state of a newer read: a release names the
+// request, and takes whatever is held for it at any server.
+#include "scripted_world.h"
+
+namespace copperfront {
+namespace {
+
+// The read's answer was not heard, so it may have left a state; the request is read anew. A release told now could
+// reach its server after the second read has begun there.
+TEST(Release, IsNotToldWhileAnotherReadOfItsRequestFollows) {
+    ScriptedWorld w;
+    auto client = w.client();
+    client->say(w.call(w.fresh(), "4000"));
+    const auto first = w.wait_for_post(w.prefill, 1);
+    w.prefill.reset(first);
+    const auto second = w.wait_for_post(w.prefill, 2);
+    w.pass(ms(400));
+    EXPECT_EQ(w.prefill.count("DELETE") + w.decode.count("DELETE"), 0u);
+    w.prefill.send(second, prefill_response());
+    const auto writing = w.wait_for_post(w.decode, 1);
+    w.pass(ms(200));
+    EXPECT_EQ(w.prefill.count("DELETE") + w.decode.count("DELETE"), 0u);
+    w.decode.send(writing, whole_stream("whole"));
+    w.until("the answer", [&] { return client->whole(); });
+}
+
+// Nothing follows: it is told well within the time that a state may be held, and again as the read was not heard
+// to end; not first to the server that was not heard.
+TEST(Release, IsToldTwiceElsewhereOnceItsRequestIsOver) {
+    ScriptedWorld w;
+    auto client = w.client();
+    client->say(w.call(w.fresh(), "300"));
+    w.wait_for_post(w.prefill, 1);
+    w.until("a final answer", [&] { return client->status() != 0; });
+    const Instant over = w.loop.now();
+    std::size_t at_prefill = 0, at_decode = 0;
+    w.until("both releases", [&] {
+        w.answer_releases(w.prefill, at_prefill);
+        w.answer_releases(w.decode, at_decode);
+        return w.prefill.count("DELETE") + w.decode.count("DELETE") == 2;
+    });
+    EXPECT_LT(w.loop.now() - over, ms(600));
+    EXPECT_GE(w.decode.count("DELETE"), 1u);
+    w.until("nothing is owed", [&] { return w.node->servers().owed() == 0; });
+}
+
+}  // namespace
+}  // namespace copperfront
