Attempts called off are reset; rejections and repeats keep to the window

What is left and fits all of them: a server that hangs reads later what lies in its sockets, and a connection closed in good order leaves the request there. Servers::call_off now resets the connection, and so does a release that is not answered.

--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <memory>
+#include <optional>
 #include <sstream>
 
 #include "cli/commands.h"
@@ -25,13 +26,25 @@
     return value ? value : "";
 }
 
+// Throws BadInput with the key, what was found and what is expected.
+void check_address(const char* key, const std::string& text) {
+    try {
+        Address::parse(text);
+    } catch (const NetTrouble& bad) {
+        throw platform::BadInput(std::string(key) + ": " + bad.what());
+    }
+}
+
 platform::NodeTerms read_file(const std::string& path) {
     std::ifstream file(path, std::ios::binary);
     if (!file) throw platform::BadInput("cannot be opened; expected a readable file");
     std::ostringstream text;
     text << file.rdbuf();
     if (text.str().size() > kMostFile) throw platform::BadInput("longer than 64 MB");
-    return platform::read_node_terms(text.str(), variable);
+    platform::NodeTerms terms = platform::read_node_terms(text.str(), variable);
+    check_address("listen", terms.listen);
+    if (!terms.discovery.empty()) check_address("discovery", terms.discovery);
+    return terms;
 }
 
 int run_node(std::string path, const std::string& level) {
@@ -56,16 +69,18 @@
     try {
         Log log(level, "json", "", 0, 0);
         Loop loop;
-        Node node(loop, std::move(terms), log);
-        for (const int signal : {SIGTERM, SIGINT}) loop.on_signal(signal, [&] { node.stop(); });
+        std::optional<Node> node;
+        // Taken before the first connection is: a signal that comes earlier waits for the loop to run.
+        for (const int signal : {SIGTERM, SIGINT}) loop.on_signal(signal, [&] { node->stop(); });
         loop.on_signal(SIGHUP, [&] {
             try {
-                node.change(read_file(path));
+                node->change(read_file(path));
             } catch (const std::exception& bad) {
                 log.say(Weight::error, "node", "new terms are refused; the old ones stay",
                         {{"error", bad.what()}});
             }
         });
+        node.emplace(loop, std::move(terms), log);
         loop.run();
     } catch (const std::exception& trouble) {
         return complain(trouble.what(), kBroken);
--- a/src/core/rules.cpp
+++ b/src/core/rules.cpp
@@ -365,11 +365,12 @@
 }
 
 // The time in which what may have run may still be sent again: never what runs only once; while its repeat is
-// known what is receipted. A connection may come up long after its choice, so the host keeps to it too.
+// known what is receipted, less what a connection may take. The host keeps to it too, whenever it comes up.
 Span Rules::repeat_left(const Query& q) const {
     const Category& c = terms_.categories[q.facts.category];
     if (!q.may_have_run || c.effect == Effect::pure) return q.hard_stop - host_.now();
-    return c.effect == Effect::effectful ? Span{} : q.ran_since + c.window - host_.now();
+    const Span known = q.ran_since + c.window - terms_.connect_within - host_.now();
+    return c.effect == Effect::effectful ? Span{} : known;
 }
 
 // Receipted queries that may have run stay within the servers that drop their repeat.
@@ -675,7 +676,6 @@
     q.at_reader = role_[s] == Role::reader;
     q.sent = host_.now();
     q.state_life = reading ? life_[s] : q.state_life;
-    // The index may name another server by the time at which this one is known to have run it.
     if (!q.may_have_run) q.ran_since = q.sent, q.ran_zone = zone_[s], q.ran_cell = cell_[s];
     ++q.launches;
     ++waiting_[s];
@@ -884,12 +884,12 @@
 void Rules::hand_over(QueryIndex i) {
     Query& q = queries_[i];
     if (standing_[q.state_at] == Standing::gone || life_[q.state_at] != q.state_life || is_overdue(q) ||
-        repeat_left(q).us <= 0) {
+        repeat_left(q).us <= 0 || q.launches >= most_launches(q)) {
         let_go(i);
         return retry_or_end(i);
     }
     ServerIndex s = 0;
-    if (q.launches < most_launches(q) && pick_writer(q, s)) return send(i, s, false);
+    if (pick_writer(q, s)) return send(i, s, false);
     park(i);
 }
 
@@ -919,11 +919,11 @@
         Query& q = queries_[i];
         if (q.serial != serial || q.stage != Stage::parked) continue;
         ServerIndex s = 0;
-        if (q.launches < most_launches(q) &&
-            (host_.now() - q.parked_since >= terms_.release_within * 0.4 || any_room(q)) &&
+        const bool spent = q.launches >= most_launches(q);
+        if (!spent && (host_.now() - q.parked_since >= terms_.release_within * 0.4 || any_room(q)) &&
             pick_writer(q, s)) {
             send(i, s, false);
-        } else if (is_overdue(q) || q.launches >= most_launches(q)) {
+        } else if (is_overdue(q) || spent) {
             let_go(i);
             retry_or_end(i);
         } else {
@@ -952,13 +952,13 @@
     end(i, terms_.max_stay_away * 0.25);
 }
 
-// The final answer, at once. A decline says that trying again is harmless, so it is kept for when that is so.
+// The final answer, at once. A decline says that trying again is harmless, for as long as a try may take.
 void Rules::end(QueryIndex i, Span stay_away) {
     Query& q = queries_[i];
     const Category& c = terms_.categories[q.facts.category];
     if (q.out && q.stage == Stage::writing && q.has_state) note_hand_over(q, host_.now() - q.sent);
     const bool harmless = (!q.may_have_run && !q.out) || c.effect == Effect::pure ||
-                          (c.effect == Effect::receipted && c.group == Group::all);
+                          (c.group == Group::all && repeat_left(q) >= q.facts.budget + terms_.max_stay_away);
     harmless ? host_.decline(i, stay_away) : host_.give_up(i);
     over(i);
 }
@@ -1063,7 +1063,7 @@
             retry_or_end(i);
         } else if (!host_.may_launch_again(i, q.last)) {
             end(i, terms_.max_stay_away * 0.25);
-        } else if (e == Ending::full && !any_room(q)) {
+        } else if (e == Ending::full && q.launches < most_launches(q) && !any_room(q)) {
             park(i);
         } else {
             hand_over(i);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -104,6 +104,14 @@
         log_.say(Weight::error, "node", "new terms are refused; the old ones stay", {{"error", wrong}});
         return;
     }
+    // Checked before anything changes: the old address is followed until the new one can be.
+    try {
+        if (!terms.discovery.empty()) Address::parse(terms.discovery);
+    } catch (const NetTrouble& bad) {
+        log_.say(Weight::error, "node", "new terms are refused; the old ones stay",
+                 {{"error", std::string("discovery: ") + bad.what()}});
+        return;
+    }
     // The list in hand is newer than any that a file could tell.
     terms_ = std::move(terms);
     servers_->change(idle_of(terms_), terms_.core.release_within);
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -12,6 +12,9 @@
 constexpr std::uint32_t kMostReleaseTries = 8;  // servers that are told
 constexpr int kMostInterim = 100;               // 1xx answers ahead of one
 constexpr Span kLookEvery{50000};
+// A server may send an answer twice, the second some milliseconds after the first. Nothing tells it from the
+// answer to the next request on that connection, so none is sent there for so long.
+constexpr Span kRestBeforeReuse{20000};
 
 }  // namespace
 
@@ -260,13 +263,14 @@
 // The newest idle one, which is the likeliest to be alive. Against bytes or an end that have come in the very
 // moment in which it is taken, the system is asked: such a connection is no longer of use. Null: there is none.
 Servers::Line* Servers::take_idle(Door& door) {
-    while (!door.idle.empty()) {
-        Line* line = door.idle.back();
-        if (line->is_quiet()) {
-            door.idle.pop_back();
+    for (std::size_t n = door.idle.size(); n-- > 0;) {
+        Line* line = door.idle[n];
+        if (!line->is_quiet()) {
+            drop(*line, false);
+        } else if (loop_.now() - line->rested() >= kRestBeforeReuse) {
+            door.idle.erase(door.idle.begin() + static_cast<std::ptrdiff_t>(n));
             return line;
         }
-        drop(*line, false);
     }
     return nullptr;
 }
@@ -307,7 +311,9 @@
     if (it == out_.end()) return;
     Line& line = *it->second;
     out_.erase(it);
-    drop(line, false);
+    // Against a server that hangs and reads later what lies in its socket: a reset takes that back, an end does
+    // not, and the launch would run after another one of its query.
+    drop(line, true);
 }
 
 bool Servers::unsend(LaunchId launch) {
@@ -464,7 +470,7 @@
     const Instant now = loop_.now();
     for (std::size_t n = 0; n < releases_.size(); ++n) {
         Release& r = *releases_[n];
-        if (r.line && now - r.since >= bounds_.release_answer) drop(*r.line, false);
+        if (r.line && now - r.since >= bounds_.release_answer) drop(*r.line, true);
         if (!r.line) go_on(r);
     }
     std::erase_if(releases_, [](const auto& r) { return r->dead; });
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -23,7 +23,8 @@
         assert(h.body.find("hello there") != std::string::npos && h.left_ms > 1000 && h.left_ms <= 2000);
     }
     assert(w.platform.heard()[0].server == "r1" && w.platform.heard()[1].server == "w1");
-    // The same connections, of the client and to the servers, carry the next one.
+    // The same connections, of the client and to the servers, carry the next one once they have rested.
+    w.pass(ms(50));
     c->heard.clear();
     c->say(w.call("q-2"));
     w.until("the second stream's end", [&] { return c->whole(); });
--- a/tests/node/retries_test.cpp
+++ b/tests/node/retries_test.cpp
@@ -68,6 +68,27 @@
     }
 }
 
+// A server may send an answer twice, the second some milliseconds late: its connection is not used again within
+// these, as nothing tells the two apart once the next request has been written.
+TEST(PooledConnection, RestsBeforeItIsUsedAgain) {
+    ScriptedWorld w;
+    auto first = w.client();
+    const auto used = w.up_to_decode(*first);
+    w.decode.send(used, whole_stream("mine"));
+    w.until("the first answer", [&] { return first->whole(); });
+    auto second = w.client();
+    const auto at_once = w.up_to_decode(*second, 2);
+    EXPECT_NE(at_once, used);
+    w.decode.send(at_once, whole_stream("yours"));
+    w.until("the second answer", [&] { return second->whole(); });
+    w.pass(ms(100));
+    auto third = w.client();
+    const auto later = w.up_to_decode(*third, 3);
+    EXPECT_TRUE(later == used || later == at_once);
+    w.decode.send(later, whole_stream("later"));
+    w.until("the third answer", [&] { return third->whole(); });
+}
+
 // ---- repeats
 
 // A class whose repeats are known for 200 ms: the further attempt's connection comes up after that.
