--- a/src/core/rules.h
+++ b/src/core/rules.h
@@ -87,8 +87,8 @@
     Ending last = Ending::read;  // of the launch before
     bool answer_lost = false;
     bool may_have_run = false;
-    // Of the earliest launch that may have run, or else of the newest one. Not its index, which may name another
-    // server by then.
+    // Of the earliest launch that may have run, or else of the newest one. Not its index, which may name
+    // another server by then.
     std::uint16_t ran_zone = 0;
     std::uint32_t ran_cell = 0;
     Instant ran_since;
--- a/src/desk/desk.h
+++ b/src/desk/desk.h
@@ -110,7 +110,8 @@
     // Every open query that has not begun is given up now, for a stop that has taken too long.
     void give_up_all(std::string_view why);
 
-    // Whether a launch that waits for its connection may still be sent now. Asked right before its first byte.
+    // Whether a launch that waits for its connection may still be sent now. Asked right before its first
+    // byte.
     bool may_be_written(LaunchId launch) const;
 
     std::size_t open_queries() const { return open_; }
--- a/src/http/forwarding.cpp
+++ b/src/http/forwarding.cpp
@@ -7,13 +7,14 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> kHopByHop = {
-    "Connection", "Keep-Alive", "Proxy-Connection",  "Proxy-Authenticate", "Proxy-Authorization",
-    "TE",         "Trailer",    "Transfer-Encoding", "Upgrade"};
+    "Connection", "Keep-Alive",        "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "TE",
+    "Trailer",    "Transfer-Encoding", "Upgrade"};
 constexpr std::array<std::string_view, 3> kRewritten = {"Host", "Content-Length", "Expect"};
 
 template <std::size_t kSize>
 bool is_one_of(const std::array<std::string_view, kSize>& names, std::string_view name) {
-    return std::any_of(names.begin(), names.end(), [&](std::string_view known) { return alike(known, name); });
+    return std::any_of(names.begin(), names.end(),
+                       [&](std::string_view known) { return alike(known, name); });
 }
 
 std::string_view trimmed(std::string_view text) {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -65,7 +65,8 @@
     // Whether the peer has closed or reset, asked of the system: its end may lie behind bytes, or behind
     // other events, that the loop has not come to yet.
     bool peer_has_ended() const;
-    // Whether nothing has come that has not been taken, asked of the system as well: neither bytes nor an end.
+    // Whether nothing has come that has not been taken, asked of the system as well: neither bytes nor an
+    // end.
     bool is_quiet() const;
     void pause_reading(bool pause);
     // Sends an end after what is queued; reading goes on.
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -261,7 +261,8 @@
 }
 
 // The newest idle one, which is the likeliest to be alive. Against bytes or an end that have come in the very
-// moment in which it is taken, the system is asked: such a connection is no longer of use. Null: there is none.
+// moment in which it is taken, the system is asked: such a connection is no longer of use. Null: there is
+// none.
 Servers::Line* Servers::take_idle(Door& door) {
     for (std::size_t n = door.idle.size(); n-- > 0;) {
         Line* line = door.idle[n];
@@ -311,8 +312,8 @@
     if (it == out_.end()) return;
     Line& line = *it->second;
     out_.erase(it);
-    // Against a server that hangs and reads later what lies in its socket: a reset takes that back, an end does
-    // not, and the launch would run after another one of its query.
+    // Against a server that hangs and reads later what lies in its socket: a reset takes that back, an end
+    // does not, and the launch would run after another one of its query.
     drop(line, true);
 }
 
--- a/src/node/servers.h
+++ b/src/node/servers.h
@@ -74,8 +74,8 @@
     // The answer's events wait while this is so.
     void hold_back(LaunchId launch, bool hold);
     struct ReleaseOrder {
-        // The read may yet leave a state, as its end was not heard; so it is told once more a while later, and
-        // first to another server than the one that was not heard.
+        // The read may yet leave a state, as its end was not heard; so it is told once more a while later,
+        // and first to another server than the one that was not heard.
         bool unsure = false;
         // Another attempt may follow at once, and what is told now could take the state that it leaves.
         bool may_be_followed = false;
--- a/tests/core/repeats_test.cpp
+++ b/tests/core/repeats_test.cpp
@@ -6,7 +6,8 @@
 namespace copperfront {
 namespace {
 
-// A connection may come up long after the attempt was chosen, so the attempt carries what is left of the window.
+// A connection may come up long after the attempt was chosen, so the attempt carries what is left of the
+// window.
 TEST(RepeatWindow, FurtherAttemptMustBeWrittenWithinWhatIsLeft) {
     Story story(Effect::receipted, Group::all);
     story.start();
@@ -45,7 +46,8 @@
     EXPECT_FALSE(story.host.released.empty());
 }
 
-// A rejection tells its client that trying again is harmless. It is so only while the repeat would still be known.
+// A rejection tells its client that trying again is harmless. It is so only while the repeat would still be
+// known.
 TEST(RepeatWindow, RejectionIsGivenOnlyWhileAWholeFurtherTryIsKnown) {
     for (const bool known : {false, true}) {
         Story story(Effect::receipted, Group::all);
@@ -70,7 +72,8 @@
     EXPECT_FALSE(story.host.released.empty());
 }
 
-// What a connection may take to come up is part of the window: an attempt that is chosen after that is not made.
+// What a connection may take to come up is part of the window: an attempt that is chosen after that is not
+// made.
 TEST(RepeatWindow, LeavesAConnectionItsTime) {
     Story story(Effect::receipted, Group::all);
     story.terms.categories[0].window = ms(1000);
@@ -86,7 +89,8 @@
     EXPECT_EQ(story.sent(), 3u);
 }
 
-// A server's index is given to another one once it has gone: the group is that of the one that may have run it.
+// A server's index is given to another one once it has gone: the group is that of the one that may have run
+// it.
 TEST(RepeatGroup, IsThatOfTheServerThatMayHaveRunItThoughItsIndexNamesAnother) {
     Story story(Effect::receipted, Group::cell);
     story.start();
--- a/tests/node/departed_client_test.cpp
+++ b/tests/node/departed_client_test.cpp
@@ -1,5 +1,5 @@
-// A client that has closed its connection has gone: whatever waited for it is not sent on. Its end lies in the
-// system when the gateway comes to the point at which it would send.
+// A client that has closed its connection has gone: whatever waited for it is not sent on. Its end lies in
+// the system when the gateway comes to the point at which it would send.
 #include "scripted_world.h"
 
 namespace copperfront {
@@ -21,7 +21,8 @@
     }
 };
 
-// Queued at admission, as no prefill server may be used; the list that ends the wait comes in the same moment.
+// Queued at admission, as no prefill server may be used; the list that ends the wait comes in the same
+// moment.
 TEST_P(DepartedClient, QueuedRequestIsNotSentOn) {
     ScriptedWorld w;
     w.platform.set("r1", "draining");
--- a/tests/node/forwarding_test.cpp
+++ b/tests/node/forwarding_test.cpp
@@ -14,9 +14,11 @@
     w.wait_for_post(w.decode, 1);
     for (const ScriptedServer* server : {&w.prefill, &w.decode}) {
         const http::Head& head = w.last(*server).head;
-        for (const auto& [name, value] :
-             {std::pair{"Idempotency-Key", "once-7"}, {"X-Custom", "kept"}, {"X-Service-Class", "help"},
-              {"X-Account", "acme"}, {"Content-Type", "application/json"}}) {
+        for (const auto& [name, value] : {std::pair{"Idempotency-Key", "once-7"},
+                                          {"X-Custom", "kept"},
+                                          {"X-Service-Class", "help"},
+                                          {"X-Account", "acme"},
+                                          {"Content-Type", "application/json"}}) {
             ASSERT_NE(head.find(name), nullptr) << name;
             EXPECT_EQ(*head.find(name), value) << name;
         }
--- a/tests/node/raw_client.h
+++ b/tests/node/raw_client.h
@@ -1,5 +1,5 @@
-// A client on a plain blocking-connect socket. What it sends lies in the system at once, before the event loop
-// has come to it, so that a test can put bytes or an end between two steps of the gateway.
+// A client on a plain blocking-connect socket. What it sends lies in the system at once, before the event
+// loop has come to it, so that a test can put bytes or an end between two steps of the gateway.
 #pragma once
 
 #include <fcntl.h>
@@ -19,8 +19,7 @@
     explicit RawClient(const Address& to) {
         sockaddr_storage raw{};
         const int length = to.fill(&raw);
-        const int connected =
-            connect(fd_, reinterpret_cast<sockaddr*>(&raw), static_cast<socklen_t>(length));
+        const int connected = connect(fd_, reinterpret_cast<sockaddr*>(&raw), static_cast<socklen_t>(length));
         assert(connected == 0);
         (void)connected;
         fcntl(fd_, F_SETFL, O_NONBLOCK);
--- a/tests/node/release_test.cpp
+++ b/tests/node/release_test.cpp
@@ -1,12 +1,12 @@
-// States that a read may have left behind are released, and never the state of a newer read: a release names the
-// request, and takes whatever is held for it at any server.
+// States that a read may have left behind are released, and never the state of a newer read: a release names
+// the request, and takes whatever is held for it at any server.
 #include "scripted_world.h"
 
 namespace copperfront {
 namespace {
 
-// The read's answer was not heard, so it may have left a state; the request is read anew. A release told now could
-// reach its server after the second read has begun there.
+// The read's answer was not heard, so it may have left a state; the request is read anew. A release told now
+// could reach its server after the second read has begun there.
 TEST(Release, IsNotToldWhileAnotherReadOfItsRequestFollows) {
     ScriptedWorld w;
     auto client = w.client();
@@ -24,8 +24,8 @@
     w.until("the answer", [&] { return client->whole(); });
 }
 
-// Nothing follows: it is told well within the time that a state may be held, and again as the read was not heard
-// to end; not first to the server that was not heard.
+// Nothing follows: it is told well within the time that a state may be held, and again as the read was not
+// heard to end; not first to the server that was not heard.
 TEST(Release, IsToldTwiceElsewhereOnceItsRequestIsOver) {
     ScriptedWorld w;
     auto client = w.client();
--- a/tests/node/retries_test.cpp
+++ b/tests/node/retries_test.cpp
@@ -7,7 +7,8 @@
 
 // ---- pooled connections
 
-// Bytes that come on a resting connection belong to nobody: the next request must not take them for its answer.
+// Bytes that come on a resting connection belong to nobody: the next request must not take them for its
+// answer.
 TEST(PooledConnection, LateSecondAnswerIsNotTakenForTheNextOne) {
     ScriptedWorld w;
     auto first = w.client();
@@ -68,8 +69,8 @@
     }
 }
 
-// A server may send an answer twice, the second some milliseconds late: its connection is not used again within
-// these, as nothing tells the two apart once the next request has been written.
+// A server may send an answer twice, the second some milliseconds late: its connection is not used again
+// within these, as nothing tells the two apart once the next request has been written.
 TEST(PooledConnection, RestsBeforeItIsUsedAgain) {
     ScriptedWorld w;
     auto first = w.client();
@@ -109,9 +110,8 @@
     w.decode.reset(used);
     // The state may have gone with the reset, so the prompt is read again first.
     w.prefill.send(w.wait_for_post(w.prefill, 2), prefill_response());
-    w.until("the further attempt waits for its connection", [&] {
-        return w.node->desk().tally().writes == 2 && w.node->servers().launches() == 1;
-    });
+    w.until("the further attempt waits for its connection",
+            [&] { return w.node->desk().tally().writes == 2 && w.node->servers().launches() == 1; });
     w.pass(ms(400));
     stalled->accept_all();
     w.until("a final answer", [&] { return client->status() != 0; });
@@ -153,8 +153,8 @@
 
 // ---- attempts that are called off
 
-// A server that hangs reads later what lies in its socket. A reset takes the request back, an end in good order
-// would leave it there, to run after a further attempt.
+// A server that hangs reads later what lies in its socket. A reset takes the request back, an end in good
+// order would leave it there, to run after a further attempt.
 TEST(CalledOff, ConnectionIsReset) {
     ScriptedWorld w;
     RawClient client(w.node->address());
--- a/tests/node/scripted_world.h
+++ b/tests/node/scripted_world.h
@@ -63,7 +63,9 @@
         prefill.send(wait_for_post(prefill, n), prefill_response());
         return wait_for_post(decode, n);
     }
-    const ScriptedServer::Request& last(const ScriptedServer& server) const { return server.requests().back(); }
+    const ScriptedServer::Request& last(const ScriptedServer& server) const {
+        return server.requests().back();
+    }
 
     // Answers each DELETE, as any model server does.
     void answer_releases(ScriptedServer& server, std::size_t& answered) {
--- a/tests/node/settings_shapes_test.cpp
+++ b/tests/node/settings_shapes_test.cpp
@@ -1,5 +1,5 @@
-// Settings of other customers: other classes, effects, tenants, kinds, limits and windows, in the shapes of the
-// two sites under deploy/sites. Nothing in the program may be fitted to the names of one deployment.
+// Settings of other customers: other classes, effects, tenants, kinds, limits and windows, in the shapes of
+// the two sites under deploy/sites. Nothing in the program may be fitted to the names of one deployment.
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -66,19 +66,21 @@
     platform.add("p1", Role::reader, "z", 1);
     platform.add("d1", Role::writer, "z", 1);
     platform.discovery_is_silent(true);
-    const std::string known = replaced(replaced(platform.list(), R"("type":"reader")",
-                                                std::string(R"("type":")") + shape.prefill_kind + "\""),
-                                       R"("type":"writer")", std::string(R"("type":")") + shape.decode_kind + "\"");
+    const std::string known =
+        replaced(replaced(platform.list(), R"("type":"reader")",
+                          std::string(R"("type":")") + shape.prefill_kind + "\""),
+                 R"("type":"writer")", std::string(R"("type":")") + shape.decode_kind + "\"");
     Node node(loop, terms_for(platform.discovery().text(), known, 256, shape.settings), log);
     int n = 0;
     for (const std::string& service_class : shape.classes) {
         for (const std::string& tenant : shape.tenants) {
             Client client(loop, node.address());
             const std::string body = R"({"messages":[{"role":"user","content":"hello there"}]})";
-            client.say("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: r" + std::to_string(n++) +
-                       "\r\nX-Service-Class: " + service_class + "\r\nX-Account: " + tenant +
-                       "\r\nX-Session-Key: s\r\nX-Time-Left-Ms: 2000\r\nX-Facts: prompt_len=9,max_out=50\r\n" +
-                       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+            client.say(
+                "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: r" + std::to_string(n++) +
+                "\r\nX-Service-Class: " + service_class + "\r\nX-Account: " + tenant +
+                "\r\nX-Session-Key: s\r\nX-Time-Left-Ms: 2000\r\nX-Facts: prompt_len=9,max_out=50\r\n" +
+                "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
             Timer look(loop, [&] {
                 if (client.whole() || client.closed || client.status() > 200) return loop.stop();
                 look.set(ms(2));
@@ -93,8 +95,11 @@
 
 INSTANTIATE_TEST_SUITE_P(
     Each, SettingsShape,
-    testing::Values(Shape{kMostlyOnce, {"berth-commit", "tide-lookup", "manifest-note"}, {"ferry-line", "fish-hall"},
-                          "loader", "crane"},
+    testing::Values(Shape{kMostlyOnce,
+                          {"berth-commit", "tide-lookup", "manifest-note"},
+                          {"ferry-line", "fish-hall"},
+                          "loader",
+                          "crane"},
                     Shape{kManyTenants, {"hint", "mark-draft"}, {"ash", "elder", "ivy"}, "ingest", "tell"}));
 
 TEST(Settings, NoNameOfTheFirstDeploymentStandsInTheProgram) {
@@ -105,8 +110,8 @@
         std::ifstream file(entry.path());
         std::ostringstream text;
         text << file.rdbuf();
-        for (const char* name : {"points-help", "nordur-bakari", "kaffi-hofn", "hlidar-bokabud", "solbad-sund",
-                                 "vordu", "reykjavik", "keflavik"}) {
+        for (const char* name : {"points-help", "nordur-bakari", "kaffi-hofn", "hlidar-bokabud",
+                                 "solbad-sund", "vordu", "reykjavik", "keflavik"}) {
             EXPECT_EQ(text.str().find(name), std::string::npos) << entry.path() << " names " << name;
         }
     }
--- a/tests/node/shutdown_test.cpp
+++ b/tests/node/shutdown_test.cpp
@@ -1,5 +1,5 @@
-// A planned stop that crosses with requests: at each point of a request's life, and with clients that rest, send
-// in the very moment, or misbehave.
+// A planned stop that crosses with requests: at each point of a request's life, and with clients that rest,
+// send in the very moment, or misbehave.
 #include "scripted_world.h"
 
 namespace copperfront {
@@ -71,7 +71,8 @@
     }
 }
 
-// A request in the very moment of the half-close of a resting connection: answered, or nothing is sent on for it.
+// A request in the very moment of the half-close of a resting connection: answered, or nothing is sent on for
+// it.
 TEST(Shutdown, RequestThatCrossesTheCloseOfARestingConnectionIsNotSentOnUnanswered) {
     ScriptedWorld w;
     RawClient client(w.node->address());
--- a/tests/node/stalled_peers.h
+++ b/tests/node/stalled_peers.h
@@ -1,5 +1,5 @@
-// Peers on plain sockets that hold a connection at a point of its life: before it comes up, or with a part of a
-// message written.
+// Peers on plain sockets that hold a connection at a point of its life: before it comes up, or with a part of
+// a message written.
 #pragma once
 
 #include <netinet/in.h>
@@ -26,8 +26,9 @@
     return "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
 }
 
-// A machine that is cut off: a connection to it does not come up, as its listener's queue is full and the system
-// drops what would open another one. Once it accepts, the system's next try comes up, within a second or so.
+// A machine that is cut off: a connection to it does not come up, as its listener's queue is full and the
+// system drops what would open another one. Once it accepts, the system's next try comes up, within a second
+// or so.
 class StalledListener {
   public:
     StalledListener() {
@@ -71,8 +72,8 @@
     std::string address_, heard_;
 };
 
-// Takes connections and reads nothing. Its segments and its buffer are small, so that the writer's buffers are
-// as well and a large message stays half written.
+// Takes connections and reads nothing. Its segments and its buffer are small, so that the writer's buffers
+// are as well and a large message stays half written.
 class StalledReader {
   public:
     StalledReader() {
--- a/tests/node/streams_test.cpp
+++ b/tests/node/streams_test.cpp
@@ -1,5 +1,5 @@
-// Events of a stream pass on as they come: each one is heard by the client before the server sends the next, so
-// that none can be held back or lumped with another.
+// Events of a stream pass on as they come: each one is heard by the client before the server sends the next,
+// so that none can be held back or lumped with another.
 #include <ctime>
 
 #include "scripted_world.h"
@@ -9,7 +9,8 @@
 
 constexpr Span kPassedOnWithin = ms(300);
 
-// Sends events one at a time, each after the client has heard the one before; returns the longest that one took.
+// Sends events one at a time, each after the client has heard the one before; returns the longest that one
+// took.
 Span longest_of(ScriptedWorld& w, ScriptedWorld::Connection writing, Client& client, int events) {
     Span longest;
     for (int n = 0; n < events; ++n) {
--- a/tests/node/watch_test.cpp
+++ b/tests/node/watch_test.cpp
@@ -1,5 +1,5 @@
-// What discovery tells, held back, cut, late or in odd forms: nothing told is older than its time, and a server
-// that drains gets nothing new.
+// What discovery tells, held back, cut, late or in odd forms: nothing told is older than its time, and a
+// server that drains gets nothing new.
 #include "scripted_world.h"
 
 namespace copperfront {
@@ -86,7 +86,8 @@
     w.answer(w.call(0), w.list(7, true, ""));
     const ScriptedServer::Request watch = w.next_watch(0);
     const std::size_t calls = w.calls();
-    w.until("it is given up", [&] { return !w.agent.is_open(watch.connection); }, ms(3000));
+    w.until(
+        "it is given up", [&] { return !w.agent.is_open(watch.connection); }, ms(3000));
     w.until("the next call", [&] { return w.calls() > calls; });
     EXPECT_FALSE(w.waits(w.agent.requests().back())) << "changes of a list that is not in hand";
 }
@@ -108,7 +109,8 @@
 TEST(Watch, ListInOneBytePiecesAndIndentedIsRead) {
     ScriptedDiscovery w;
     std::string body = w.list(7, true, w.entry("w9", "up"));
-    for (std::size_t at = 0; (at = body.find(',', at)) != std::string::npos; at += 4) body.replace(at, 1, ",\n  ");
+    for (std::size_t at = 0; (at = body.find(',', at)) != std::string::npos; at += 4)
+        body.replace(at, 1, ",\n  ");
     const ScriptedServer::Request first = w.call(0);
     std::size_t sent = 0;
     const std::string text = response_of(200, "", body);
