The time for connecting stands once; the JSON-RPC gateway's terms tell it as well

Found on reading the change again: the settings' connect-timeout-ms was kept in two places (Links and Terms), and the terms file did not hand its bounds / connect-timeout to the module, so on the JSON-RPC gateway a repeat's window left a connection no time.

--- a/src/core/terms.h
+++ b/src/core/terms.h
@@ -50,7 +50,7 @@
     double probe_fee = 0;
 
     Span quantum;
-    Span connect_within;  // the longest that a connection to a server may take to come up
+    Span connect_within;  // a connection to a server not made by then will not come; 0: not told
     Span release_within;
     double start_capacity = 1;
     double tip_multiple = 1;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -126,23 +126,27 @@
 
 std::size_t Stream::unsent() const { return evbuffer_get_length(bufferevent_get_output(events_)); }
 
+// What the system holds that the loop has not come to, without taking it.
+Stream::Pending Stream::pending_in_system() const {
+    char next = 0;
+    const ssize_t there = recv(bufferevent_getfd(events_), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (there > 0) return Pending::bytes;
+    const bool nothing = there < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    return nothing ? Pending::nothing : Pending::end;
+}
+
 bool Stream::peer_has_ended() const {
     if (closed_) return true;
     if (!made_) return false;
-    const int fd = bufferevent_getfd(events_);
-    char next = 0;
-    const ssize_t there = recv(fd, &next, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (there == 0) return true;
-    if (there < 0) return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
-    pollfd at{fd, POLLRDHUP, 0};
+    const Pending pending = pending_in_system();
+    if (pending == Pending::end) return true;
+    // An end may lie behind bytes.
+    pollfd at{bufferevent_getfd(events_), POLLRDHUP, 0};
     return poll(&at, 1, 0) == 1 && (at.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 bool Stream::is_quiet() const {
-    if (closed_ || !made_ || held() > 0) return false;
-    char next = 0;
-    const ssize_t there = recv(bufferevent_getfd(events_), &next, 1, MSG_PEEK | MSG_DONTWAIT);
-    return there < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    return !closed_ && made_ && held() == 0 && pending_in_system() == Pending::nothing;
 }
 
 void Stream::pause_reading(bool pause) {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -84,6 +84,8 @@
 
   private:
     Stream(Loop& loop, const Bounds& bounds, Owner& owner);
+    enum class Pending { nothing, bytes, end };
+    Pending pending_in_system() const;
     static void readable(bufferevent*, void* self);
     static void drained(bufferevent*, void* self);
     static void happened(bufferevent*, short what, void* self);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -94,7 +94,7 @@
 
 RouteLimits Node::limits() const {
     RouteLimits limits;
-    limits.connect = terms_.links.connect_within;
+    limits.connect = terms_.core.connect_within;
     limits.gap = kLongestGap;
     return limits;
 }
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -266,12 +266,12 @@
 Servers::Line* Servers::take_idle(Door& door) {
     for (std::size_t n = door.idle.size(); n-- > 0;) {
         Line* line = door.idle[n];
-        if (!line->is_quiet()) {
-            drop(*line, false);
-        } else if (loop_.now() - line->rested() >= kRestBeforeReuse) {
+        if (loop_.now() - line->rested() < kRestBeforeReuse) continue;
+        if (line->is_quiet()) {
             door.idle.erase(door.idle.begin() + static_cast<std::ptrdiff_t>(n));
             return line;
         }
+        drop(*line, false);
     }
     return nullptr;
 }
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -88,7 +88,6 @@
     const Json& limits = object_or_empty(env, "limits");
     Links links;
     links.idle = span_or(limits, "conn-idle-ms", 0);
-    links.connect_within = span_or(limits, "connect-timeout-ms", 0);
     links.most_held = number_or(limits, "most-held", 0);
     for (const Json& profile : list_or_empty(env, "profiles"))
         links.longest_wait = std::max(links.longest_wait, span_or(profile, "deadline-ms", 0));
--- a/src/platform/settings.h
+++ b/src/platform/settings.h
@@ -18,8 +18,7 @@
 
 // What concerns connections alone. 0: not told.
 struct Links {
-    Span idle;            // a server closes a connection that idle
-    Span connect_within;  // a connection not made by then will not come
+    Span idle;  // a server closes a connection that idle
     double most_held = 0;
     Span longest_wait;  // of any category
 };
--- a/src/terms/terms_file.cpp
+++ b/src/terms/terms_file.cpp
@@ -609,7 +609,7 @@
     b.bad_messages = bounds.whole("bad-messages");
     b.streams_a_link = bounds.whole("streams-a-link");
     b.caller_silence = bounds.span("caller-silence");
-    b.connect_timeout = bounds.span("connect-timeout");
+    b.connect_timeout = t.core.connect_within = bounds.span("connect-timeout");
     b.idle_link = bounds.span("idle-link");
     b.ping_after = bounds.span("ping-after");
     b.engine_silence = bounds.span("engine-silence");
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -56,7 +56,7 @@
     assert(t.core.categories[0].token_gap.us == 60000 && t.core.categories[0].goal_per_thousand.us == 40000);
     assert(t.core.max_launches == 6 && t.core.max_stay_away.us == 1000000 && t.core.cancel && !t.core.probes);
     assert(t.core.warm_within.us == 14000000 && t.core.quantum.us == 4000);
-    assert(t.links.idle.us == 15000000 && t.links.connect_within.us == 250000 &&
+    assert(t.links.idle.us == 15000000 && t.core.connect_within.us == 250000 &&
            t.links.longest_wait.us == 6000000);
     assert(t.known.whole && t.known.index == 41 && t.known.entries.size() == 2);
     assert(t.known.entries[0].born.us == 1700000000123000 && t.known.entries[0].cell == "3");
