A finished answer that a slow client still takes is not cut for a crowd of new connections

Seen on reading the change again: Fronts::came buried the longest-kept lingering connection to make room, whatever was still queued on it. Forced in node_shutdown.Close.AnswerQueuedForASlowClient...: small segments and buffers at the client, a finished stream half taken, then sixty connections that say nothing; without the mend the stream ended without its last chunk. Ruled out: the close itself (the same answer arrives whole without the crowd, and with a table full of lingering refusals). Now only a connection that owes nothing is given up; with none left the new one is shut. The case 'full' in Fronts::drop could not come about, as room is made before a connection is taken, and went.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -74,8 +74,12 @@
     }
 }
 
-void Loop::bury_oldest_adopted() {
-    if (!adopted_.empty()) bury(adopted_.front().get());
+bool Loop::bury_oldest_adopted() {
+    const auto oldest =
+        std::find_if(adopted_.begin(), adopted_.end(), [](const auto& kept) { return !kept->is_owed(); });
+    if (oldest == adopted_.end()) return false;
+    bury(oldest->get());
+    return true;
 }
 
 void Loop::run_posted(int, short, void* self) {
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -18,6 +18,8 @@
 // Whatever may be in use by a callback that is still running is buried, not deleted.
 struct Buried {
     virtual ~Buried() = default;
+    // Whether something would be lost that others still wait for, were it gone now.
+    virtual bool is_owed() const { return false; }
 };
 
 class Loop {
@@ -52,8 +54,8 @@
     void adopt(std::unique_ptr<Buried> what);
     void bury(Buried* adopted);
     std::size_t adopted() const { return adopted_.size(); }
-    // The one that has been kept for longest goes now, to make room.
-    void bury_oldest_adopted();
+    // The one that has been kept for longest and owes nothing goes now, to make room. False: there is none.
+    bool bury_oldest_adopted();
     void on_signal(int signal, std::function<void()> what);
 
     event_base* base() const { return base_; }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -49,6 +49,8 @@
     // stream_made or stream_closed (not_made) follows, never from within this call.
     static std::unique_ptr<Stream> dial(Loop& loop, const Address& to, const Bounds& bounds, Owner& owner);
     ~Stream() override;
+    // An answer that its peer is still taking.
+    bool is_owed() const override { return unsent() > 0; }
 
     std::size_t held() const;
     std::string_view front() const;        // the first bytes that lie in one piece
--- a/src/node/fronts.cpp
+++ b/src/node/fronts.cpp
@@ -249,7 +249,7 @@
 }
 
 void Fronts::came(int fd) {
-    while (loop_.adopted() > 0 && is_full()) loop_.bury_oldest_adopted();
+    while (is_full() && loop_.bury_oldest_adopted()) continue;
     if (is_full()) make_room();
     if (is_full()) {
         ::close(fd);
@@ -282,7 +282,7 @@
     loop_.bury(std::move(it->second));
     sessions_.erase(it);
     // Those that linger hold descriptors too, and count.
-    if (polite && !is_full())
+    if (polite)
         Stream::hand_off_politely(loop_, session.take_stream());
     else
         Stream::hand_off(loop_, session.take_stream(), false);
--- a/tests/node/raw_client.h
+++ b/tests/node/raw_client.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,7 +18,16 @@
 
 class RawClient {
   public:
-    explicit RawClient(const Address& to) {
+    enum class Buffers { usual, small };
+
+    // With small buffers and segments here, the sender's are small as well, and most of a large answer stays
+    // with the gateway while nothing is read.
+    explicit RawClient(const Address& to, Buffers buffers = Buffers::usual) {
+        if (buffers == Buffers::small) {
+            const int segment = 536, bytes = 2048;
+            setsockopt(fd_, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
+            setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+        }
         sockaddr_storage raw{};
         const int length = to.fill(&raw);
         const int connected = connect(fd_, reinterpret_cast<sockaddr*>(&raw), static_cast<socklen_t>(length));
--- a/tests/node/shutdown_test.cpp
+++ b/tests/node/shutdown_test.cpp
@@ -220,6 +220,28 @@
     EXPECT_NE(client.heard().find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
+// Its server has finished, its client reads slowly, and new connections by the dozens want its place.
+TEST(Close, AnswerQueuedForASlowClientIsWholeThoughACrowdComes) {
+    ScriptedWorld w(kSettings, 64);
+    RawClient client(w.node->address(), RawClient::Buffers::small);
+    client.say(w.call(w.fresh(), "2000", "Connection: close\r\n"));
+    w.prefill.send(w.wait_for_post(w.prefill, 1), prefill_response());
+    const auto writing = w.wait_for_post(w.decode, 1);
+    w.decode.send(writing, stream_start());
+    for (int n = 0; n < 55; ++n) w.decode.send(writing, event_of(std::string(1000, 'x')));
+    w.decode.send(writing, stream_end());
+    w.until("it waits for its client alone",
+            [&] { return w.node->desk().open_queries() == 0 && w.loop.adopted() == 1; });
+    std::vector<std::unique_ptr<RawClient>> crowd;
+    for (int n = 0; n < 60; ++n) {
+        crowd.push_back(std::make_unique<RawClient>(w.node->address()));
+        w.pass(ms(2));
+    }
+    w.until("its end", [&] { return client.has_ended() || client.was_reset(); });
+    EXPECT_FALSE(client.was_reset());
+    EXPECT_NE(client.heard().find("\r\n0\r\n\r\n"), std::string::npos);
+}
+
 TEST(Close, RefusalLeavesBeforeItsCloseThoughTheTableIsFull) {
     World w(64);
     std::vector<std::unique_ptr<RawClient>> bad;
