--- a/tests/node/release_test.cpp
+++ b/tests/node/release_test.cpp
@@ -44,5 +44,56 @@
     w.until("nothing is owed", [&] { return w.node->servers().owed() == 0; });
 }
 
+// What a gateway is allowed beyond the settings, with what a busy machine takes.
+constexpr Span kHeldAtMost = ms(1300);
+
+// A decode server whose system takes the bytes while its process reads none of them: the call has not reached a
+// running server, so it stops no clock. The state is released in time, whatever the effect of the class.
+class HandOverNeverRead : public testing::TestWithParam<const char*> {};
+
+TEST_P(HandOverNeverRead, ReleasesTheStateInTime) {
+    ScriptedWorld w(settings_with_effect(GetParam()));
+    StalledReader hung;
+    w.platform.point("w1", hung.address());
+    w.wait_for_list();
+    auto client = w.client();
+    client->say(w.call(w.fresh(), "4000"));
+    w.prefill.send(w.wait_for_post(w.prefill, 1), prefill_response());
+    const Instant read_ended = w.loop.now();
+    w.until("the hand-over lies in the system of the hung server", [&] { return hung.has_bytes(); });
+    std::size_t answered = 0;
+    w.until("a release", [&] {
+        w.answer_releases(w.prefill, answered);
+        return w.prefill.count("DELETE") > 0;
+    });
+    EXPECT_LE((w.loop.now() - read_ended).ms(), kHeldAtMost.ms());
+}
+
+// The same of a second read: the first may have left a state, and the second lies unread at a hung server.
+TEST(Release, IsNotHeldUpByASecondReadThatNobodyReads) {
+    ScriptedWorld w;
+    StalledReader hung;
+    auto client = w.client();
+    client->say(w.call(w.fresh(), "4000"));
+    const auto first = w.wait_for_post(w.prefill, 1);
+    w.platform.add("r2", Role::reader, "z", 1);
+    w.platform.point("r2", hung.address());
+    w.platform.set("r1", "draining");
+    w.wait_for_list();
+    const Instant reset_at = w.loop.now();
+    w.prefill.reset(first);
+    w.until("the second read lies in the system of the hung server", [&] { return hung.has_bytes(); });
+    std::size_t at_prefill = 0, at_decode = 0;
+    w.until("a release", [&] {
+        w.answer_releases(w.prefill, at_prefill);
+        w.answer_releases(w.decode, at_decode);
+        return w.prefill.count("DELETE") + w.decode.count("DELETE") > 0;
+    });
+    EXPECT_LE((w.loop.now() - reset_at).ms(), kHeldAtMost.ms());
+}
+
+INSTANTIATE_TEST_SUITE_P(EachEffect, HandOverNeverRead, testing::Values("repeatable", "once"),
+                         [](const auto& param) { return std::string(param.param); });
+
 }  // namespace
 }  // namespace copperfront
