--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -260,6 +260,7 @@
         engine->callback([o, r = role, &chosen] { chosen = [o, r] { return run_engine(*o, r); }; });
     }
     add_platform_standin(*sub, chosen);
+    add_model_server(*sub, chosen);
     auto* roster = sub->add_subcommand("roster", "A stand-in roster; its list is set by the call roster/set");
     auto identity = std::make_shared<standin::RosterIdentity>();
     auto least = std::make_shared<double>(200), most = std::make_shared<double>(1000);
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -18,6 +18,8 @@
 void add_gateway(CLI::App& app, Command& chosen);
 void add_node(CLI::App& app, Command& chosen);
 void add_platform_standin(CLI::App& standins, Command& chosen);
+void add_model_server(CLI::App& standins, Command& chosen);
+void add_soak(CLI::App& app, Command& chosen);
 void add_check(CLI::App& app, Command& chosen);
 void add_routes(CLI::App& app, Command& chosen);
 void add_terms(CLI::App& app, Command& chosen);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -17,6 +17,7 @@
     add_routes(app, chosen);
     add_terms(app, chosen);
     add_day(app, chosen);
+    add_soak(app, chosen);
     add_audit(app, chosen);
     add_trace(app, chosen);
     add_standin(app, chosen);
--- /dev/null
+++ b/src/cli/soak_command.cpp
@@ -0,0 +1,106 @@
+#include <signal.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <filesystem>
+#include <memory>
+
+#include "cli/commands.h"
+#include "soak/model_server.h"
+#include "soak/soak_run.h"
+
+namespace copperfront {
+namespace {
+
+std::string own_program() { return std::filesystem::read_symlink("/proc/self/exe").string(); }
+
+int run_soaks(soak::SoakOptions options, std::uint32_t seeds, bool keep) {
+    const std::string root = options.folder.empty() ? std::filesystem::temp_directory_path().string() +
+                                                          "/copperfront-soak-" + std::to_string(getpid())
+                                                    : options.folder;
+    options.program = own_program();
+    std::uint32_t failed = 0;
+    const std::uint32_t first = options.seed;
+    for (std::uint32_t seed = first; seed < first + seeds; ++seed) {
+        options.seed = seed;
+        options.folder = root + "/" + std::to_string(seed);
+        try {
+            std::filesystem::remove_all(options.folder);
+            const soak::Judgement judgement = soak::run_soak(options);
+            std::printf("seed %u: %s", seed, judgement.text().c_str());
+            failed += !judgement.well();
+            if (judgement.well() && !keep) std::filesystem::remove_all(options.folder);
+        } catch (const std::exception& trouble) {
+            std::printf("seed %u: %s\n", seed, trouble.what());
+            ++failed;
+        }
+        std::fflush(stdout);
+    }
+    std::printf("%u passed, %u failed\n", seeds - failed, failed);
+    return failed == 0 ? kWell : kBroken;
+}
+
+int run_model_server(const soak::ModelServerOptions& options) {
+    try {
+        Loop loop;
+        const soak::ModelServer server(loop, options);
+        for (const int signal : {SIGTERM, SIGINT}) loop.on_signal(signal, [&] { loop.stop(); });
+        std::printf("ready %s\n", server.address().text().c_str());
+        std::fflush(stdout);
+        loop.run();
+    } catch (const std::exception& trouble) {
+        return complain(trouble.what(), kBroken);
+    }
+    return kWell;
+}
+
+}  // namespace
+
+void add_model_server(CLI::App& standins, Command& chosen) {
+    auto* sub = standins.add_subcommand(
+        "model-server", "One fake model server of the platform as a process of its own, with faults at random");
+    auto options = std::make_shared<soak::ModelServerOptions>();
+    auto role = std::make_shared<std::string>("prefill");
+    sub->add_option("--name", options->name, "its name in records")->required();
+    sub->add_option("--role", *role, "prefill or decode")->check(CLI::IsMember({"prefill", "decode"}));
+    sub->add_option("--listen", options->listen, "loopback address")->capture_default_str();
+    sub->add_option("--states", options->states_folder, "folder that the servers of a run share")->required();
+    sub->add_option("--records", options->records_file, "file that takes what reached it")->required();
+    sub->add_option("--seed", options->seed, "of its faults")->capture_default_str();
+    sub->add_option("--faults", options->fault_share, "share of the calls that meet a fault")
+        ->check(CLI::Range(0.0, 1.0))
+        ->capture_default_str();
+    sub->callback([=, &chosen] {
+        chosen = [=] {
+            options->role = *role == "prefill" ? Role::reader : Role::writer;
+            return run_model_server(*options);
+        };
+    });
+}
+
+void add_soak(CLI::App& app, Command& chosen) {
+    auto* sub = app.add_subcommand(
+        "soak", "Run gateways and fake model servers as processes under random faults, and judge what was seen");
+    auto options = std::make_shared<soak::SoakOptions>();
+    auto seeds = std::make_shared<std::uint32_t>(1);
+    auto keep = std::make_shared<bool>(false);
+    sub->add_option("--seed", options->seed, "of the first run")->capture_default_str();
+    sub->add_option("--seeds", *seeds, "how many runs, with seeds that follow each other")
+        ->check(CLI::Range(1, 1000))
+        ->capture_default_str();
+    sub->add_option("--seconds", options->seconds, "of each run under faults")
+        ->check(CLI::Range(1.0, 600.0))
+        ->capture_default_str();
+    sub->add_option("--gateways", options->gateways)->check(CLI::Range(1, 50))->capture_default_str();
+    sub->add_option("--prefill", options->prefill_servers)->check(CLI::Range(1, 50))->capture_default_str();
+    sub->add_option("--decode", options->decode_servers)->check(CLI::Range(1, 50))->capture_default_str();
+    sub->add_option("--clients", options->clients)->check(CLI::Range(1, 1000))->capture_default_str();
+    sub->add_option("--shim", options->shim, "library to preload into gateways, which makes system calls fail");
+    sub->add_option("--log-level", options->log_level, "of gateways")->capture_default_str();
+    sub->add_option("--folder", options->folder, "for logs and records; by default a temporary one");
+    sub->add_flag("--keep", *keep, "keep the files of runs that passed as well");
+    sub->callback([=, &chosen] { chosen = [=] { return run_soaks(*options, *seeds, *keep); }; });
+}
+
+}  // namespace copperfront
--- a/src/day/process.cpp
+++ b/src/day/process.cpp
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <fcntl.h>
+#include <linux/close_range.h>
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -50,6 +51,10 @@
     argv.push_back(const_cast<char*>(what.program.c_str()));
     for (const std::string& arg : what.args) argv.push_back(const_cast<char*>(arg.c_str()));
     argv.push_back(nullptr);
+    std::vector<char*> environment;
+    for (char** variable = environ; *variable != nullptr; ++variable) environment.push_back(*variable);
+    for (const std::string& more : what.environment) environment.push_back(const_cast<char*>(more.c_str()));
+    environment.push_back(nullptr);
     const pid_t parent = ::getpid();
     const pid_t pid = ::fork();
     if (pid < 0) {
@@ -69,7 +74,9 @@
             const int fd = ::open(what.errors.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             if (fd >= 0) ::dup2(fd, 2);
         }
-        ::execv(what.program.c_str(), argv.data());
+        // A socket that a child inherits would stay open when this process closes it.
+        ::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
+        ::execve(what.program.c_str(), argv.data(), environment.data());
         ::_exit(127);
     }
     ::close(pipe[1]);
--- a/src/day/process.h
+++ b/src/day/process.h
@@ -23,6 +23,7 @@
     struct Start {
         std::string name, program;
         std::vector<std::string> args;
+        std::vector<std::string> environment;               // NAME=VALUE, beside this process's own
         std::string errors;                                 // file that takes its standard error
         std::function<void(const std::string& line)> said;  // each line of its standard output
         std::function<void(int status)> ended;              // as of waitpid; the process may be started again
--- /dev/null
+++ b/src/soak/fleet.cpp
@@ -0,0 +1,415 @@
+#include "soak/fleet.h"
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace copperfront::soak {
+namespace {
+
+// The longest deadline that clients of a run have, and what the protocol adds before SIGKILL.
+constexpr Span kKillAfter{3700000};
+constexpr Span kStillAccepting{300000};  // new connections after SIGTERM
+constexpr Span kRestartAfter{100000};
+constexpr Span kServerGoneNotice{400000};  // until discovery tells that a server has crashed
+constexpr Span kPollReady{50000};
+constexpr int kGatewayPort = 18080;
+constexpr int kHosts = 250;
+constexpr std::int64_t kLongDrain = 3600000000;
+
+constexpr const char* kSettings = R"("settings":{"azs":["a","b"],"zone":"a","balancers":5,
+ "models":["reader","writer"],"quantum-ms":4,
+ "family-info":{"role-by-kind":["read","write"],"tokens-by-kind":[200000,120000],"release-ms":1000,
+  "token-aim-ms":[60]},
+ "limits":{"cancel":true,"max-attempts":6,"retry-after":true,"max-retry-after-ms":1000,"conn-idle-ms":15000,
+  "connect-timeout-ms":250,"most-held":1000},
+ "profiles":[{"name":"idempotent","target-ms":1500,"deadline-ms":3000,"effect":"repeatable","stream":true},
+  {"name":"deduplicated","target-ms":1500,"deadline-ms":3000,"effect":"by_key","key-scope":"all",
+   "window-ms":2000,"stream":true},
+  {"name":"once","target-ms":1500,"deadline-ms":3000,"effect":"once","stream":true}],
+ "realms":[{"name":"acme","quota-per-s":100000}],
+ "safety":{"fall-ms":3000,"tip-multiple":2.5,"start-capacity":0.3,"warm-within-ms":3000}})";
+
+// Of its own for each run on this machine.
+std::string gateway_host(std::size_t gateway) {
+    const int own = static_cast<int>(getpid());
+    return "127." + std::to_string(1 + own / kHosts % kHosts) + "." + std::to_string(1 + own % kHosts) + "." +
+           std::to_string(1 + gateway);
+}
+
+// The count that a gateway writes when it stops; -1: it has not.
+std::int64_t violations_in(const std::string& log_file) {
+    std::ifstream file(log_file);
+    std::string line;
+    const std::string field = R"("violations":)";
+    std::int64_t found = -1;
+    while (std::getline(file, line)) {
+        const std::size_t at = line.find(field);
+        if (at != std::string::npos) found = std::atoll(line.c_str() + at + field.size());
+    }
+    return found;
+}
+
+}  // namespace
+
+// Asks for readiness once and tells.
+class ReadyProbe : public Stream::Owner {
+  public:
+    ReadyProbe(Loop& loop, const Address& to, std::function<void(bool)> told)
+        : loop_(loop), told_(std::move(told)) {
+        stream_ = Stream::dial(loop, to, {0, 0}, *this);
+    }
+    ~ReadyProbe() override { Stream::hand_off(loop_, std::move(stream_), false); }
+    void stream_made(Stream& s) override { s.send("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"); }
+    void bytes_came(Stream& s) override {
+        const bool ready = s.front().substr(0, 12) == "HTTP/1.1 200";
+        tell(ready);
+    }
+    void stream_closed(Stream&, Closing, const std::string&) override { tell(false); }
+
+  private:
+    void tell(bool ready) {
+        loop_.post([told = std::exchange(told_, {}), ready] {
+            if (told) told(ready);
+        });
+    }
+    Loop& loop_;
+    std::function<void(bool)> told_;
+    std::unique_ptr<Stream> stream_;
+};
+
+struct Fleet::Gateway {
+    std::string name, host, configuration;
+    std::uint32_t life = 0;
+    bool running = false, ready = false, terminated = false;
+    std::size_t record = 0;  // of its present life
+    std::unique_ptr<ReadyProbe> probe;
+    std::unique_ptr<Timer> kill_later;
+};
+
+struct Fleet::Server {
+    std::string name, zone;
+    Role role = Role::reader;
+    bool running = false, ready = false, draining = false;
+    std::uint32_t life = 0;
+    std::unique_ptr<FaultProxy> proxy;
+};
+
+Fleet::Fleet(Loop& loop, const FleetOptions& options, Records& records)
+    : loop_(loop), options_(options), records_(records), processes_(loop) {
+    std::filesystem::create_directories(options.folder + "/states");
+    platform_ = std::make_unique<standin::Platform>(loop, standin::Platform::Shape{});
+}
+
+Fleet::~Fleet() = default;
+
+void Fleet::after(Span span, std::function<void()> what) {
+    timers_.push_back(std::make_unique<Timer>(loop_, std::move(what)));
+    timers_.back()->set(span);
+}
+
+void Fleet::start() {
+    const std::size_t count = options_.prefill_servers + options_.decode_servers;
+    for (std::size_t n = 0; n < count; ++n) {
+        auto server = std::make_unique<Server>();
+        server->role = n < options_.prefill_servers ? Role::reader : Role::writer;
+        server->name = (server->role == Role::reader ? "prefill-" : "decode-") + std::to_string(n);
+        server->zone = n % 2 == 0 ? "a" : "b";
+        server->proxy =
+            std::make_unique<FaultProxy>(loop_, options_.seed * 1000 + static_cast<std::uint32_t>(n));
+        server->proxy->on_silence_over = [this, name = server->name](std::int64_t from, std::int64_t until) {
+            records_.server_faults[name].push_back({from, until});
+        };
+        servers_.push_back(std::move(server));
+        start_server(n);
+    }
+    for (std::size_t n = 0; n < options_.gateways; ++n) {
+        gateways_.push_back(std::make_unique<Gateway>());
+        gateways_.back()->name = "n" + std::to_string(n);
+        gateways_.back()->host = gateway_host(n);
+        gateways_.back()->configuration = options_.folder + "/n" + std::to_string(n) + ".json";
+        start_gateway(n);
+    }
+}
+
+bool Fleet::is_ready() const {
+    for (const auto& server : servers_) {
+        if (!server->ready) return false;
+    }
+    for (const auto& gateway : gateways_) {
+        if (!gateway->ready) return false;
+    }
+    return true;
+}
+
+// ---- gateways
+
+void Fleet::write_configuration(std::size_t gateway) const {
+    const Gateway& mine = *gateways_[gateway];
+    // As a whole or not at all.
+    const std::string fresh = mine.configuration + ".new";
+    std::ofstream file(fresh);
+    file << R"({"name":")" << mine.name << R"(","listen":")" << gateway_address(gateway).text()
+         << R"(","discovery":")" << platform_->discovery().text() << R"(","seed":")"
+         << options_.seed * 100 + mine.life << R"(","limits":{"memory_mb":192,"sockets":512},"known":)"
+         << platform_->list() << ",\n " << kSettings << "}\n";
+    file.close();
+    std::filesystem::rename(fresh, mine.configuration);
+}
+
+void Fleet::start_gateway(std::size_t gateway) {
+    if (stopping_) return;
+    Gateway& mine = *gateways_[gateway];
+    ++mine.life;
+    mine.running = true;
+    mine.ready = mine.terminated = false;
+    write_configuration(gateway);
+    mine.record = records_.gateways.size();
+    GatewayLife life;
+    life.gateway = gateway;
+    life.life = mine.life;
+    life.started = machine_clock_us();
+    records_.gateways.push_back(life);
+    const std::string run = options_.folder + "/" + mine.name + "." + std::to_string(mine.life);
+    day::Processes::Start start;
+    start.name = mine.name;
+    start.program = options_.program;
+    start.args = {"node", mine.configuration, "--log-level", options_.log_level};
+    start.errors = run + ".log";
+    if (!options_.shim.empty()) {
+        start.environment = {"LD_PRELOAD=" + options_.shim,
+                             "FAULT_SHIM_SEED=" + std::to_string(options_.seed * 100 + mine.life),
+                             "FAULT_SHIM_LOG=" + run + ".shim"};
+    }
+    start.ended = [this, gateway](int status) { gateway_ended(gateway, status); };
+    processes_.start(std::move(start));
+    poll_ready(gateway);
+}
+
+void Fleet::poll_ready(std::size_t gateway) {
+    Gateway& mine = *gateways_[gateway];
+    if (!mine.running) return;
+    mine.probe = std::make_unique<ReadyProbe>(
+        loop_, gateway_address(gateway), [this, gateway, life = mine.life](bool ready) {
+            Gateway& asked = *gateways_[gateway];
+            asked.probe.reset();
+            if (asked.life != life || !asked.running) return;
+            asked.ready = ready;
+            if (!ready) after(kPollReady, [this, gateway] { poll_ready(gateway); });
+        });
+}
+
+void Fleet::gateway_ended(std::size_t gateway, int status) {
+    Gateway& mine = *gateways_[gateway];
+    GatewayLife& life = records_.gateways[mine.record];
+    life.exited = machine_clock_us();
+    life.status = status;
+    life.violations =
+        violations_in(options_.folder + "/" + mine.name + "." + std::to_string(mine.life) + ".log");
+    mine.running = mine.ready = false;
+    mine.kill_later.reset();
+    after(kRestartAfter, [this, gateway] {
+        if (!gateways_[gateway]->running) start_gateway(gateway);
+    });
+}
+
+bool Fleet::takes_connections(std::size_t gateway) const {
+    const Gateway& mine = *gateways_[gateway];
+    if (!mine.running || !mine.ready) return false;
+    const Microseconds terminated = records_.gateways[mine.record].terminated;
+    return terminated == 0 || machine_clock_us() - terminated < kStillAccepting.us;
+}
+
+Address Fleet::gateway_address(std::size_t gateway) const {
+    return Address::parse(gateways_[gateway]->host + ":" + std::to_string(kGatewayPort));
+}
+
+std::uint32_t Fleet::gateway_life(std::size_t gateway) const { return gateways_[gateway]->life; }
+
+void Fleet::restart_gateway(std::size_t gateway) {
+    Gateway& mine = *gateways_[gateway];
+    if (!mine.ready || mine.terminated) return;
+    mine.terminated = true;
+    records_.gateways[mine.record].terminated = machine_clock_us();
+    signal(mine.name, SIGTERM);
+    mine.kill_later = std::make_unique<Timer>(loop_, [this, gateway] {
+        Gateway& late = *gateways_[gateway];
+        if (!late.running) return;
+        records_.gateways[late.record].killed = machine_clock_us();
+        signal(late.name, SIGKILL);
+    });
+    mine.kill_later->set(kKillAfter);
+}
+
+void Fleet::crash_gateway(std::size_t gateway) {
+    Gateway& mine = *gateways_[gateway];
+    if (!mine.ready || mine.terminated) return;
+    records_.gateways[mine.record].killed = machine_clock_us();
+    signal(mine.name, SIGKILL);
+}
+
+void Fleet::reload_gateway(std::size_t gateway) {
+    Gateway& mine = *gateways_[gateway];
+    if (!mine.ready) return;
+    write_configuration(gateway);
+    signal(mine.name, SIGHUP);
+}
+
+void Fleet::pause_gateway(std::size_t gateway, Span span) {
+    Gateway& mine = *gateways_[gateway];
+    if (!mine.ready) return;
+    signal(mine.name, SIGSTOP);
+    after(span, [this, gateway] { signal(gateways_[gateway]->name, SIGCONT); });
+}
+
+void Fleet::stop_all_gateways() {
+    stopping_ = true;
+    for (std::size_t n = 0; n < gateways_.size(); ++n) {
+        if (gateways_[n]->ready) {
+            restart_gateway(n);
+        } else if (gateways_[n]->running) {
+            records_.gateways[gateways_[n]->record].killed = machine_clock_us();
+            signal(gateways_[n]->name, SIGKILL);
+        }
+    }
+}
+
+bool Fleet::gateways_have_exited() const {
+    for (const auto& gateway : gateways_) {
+        if (gateway->running) return false;
+    }
+    return true;
+}
+
+// ---- model servers
+
+void Fleet::start_server(std::size_t server) {
+    Server& mine = *servers_[server];
+    mine.running = true;
+    mine.ready = false;
+    ++mine.life;
+    day::Processes::Start start;
+    start.name = mine.name;
+    start.program = options_.program;
+    start.args = {"standin",
+                  "model-server",
+                  "--name",
+                  mine.name,
+                  "--role",
+                  mine.role == Role::reader ? "prefill" : "decode",
+                  "--states",
+                  options_.folder + "/states",
+                  "--records",
+                  options_.folder + "/" + mine.name + "." + std::to_string(mine.life) + ".records",
+                  "--seed",
+                  std::to_string(options_.seed * 7919 + server * 31 + mine.life),
+                  "--faults",
+                  std::to_string(options_.server_fault_share)};
+    start.errors = options_.folder + "/" + mine.name + ".log";
+    start.said = [this, server](const std::string& line) {
+        const std::string ready = "ready ";
+        if (line.rfind(ready, 0) != 0) return;
+        Server& started = *servers_[server];
+        started.proxy->forward_to(Address::parse(line.substr(ready.size())));
+        started.ready = true;
+        platform_->add(started.name, started.role, started.zone, 1 + static_cast<int>(server % 4));
+        platform_->point(started.name, started.proxy->address().text());
+    };
+    start.ended = [this, server](int) { server_ended(server); };
+    processes_.start(std::move(start));
+}
+
+void Fleet::server_ended(std::size_t server) {
+    Server& mine = *servers_[server];
+    mine.running = mine.ready = false;
+    if (stopping_) return;
+    after(kServerGoneNotice, [this, server] {
+        if (stopping_ || servers_[server]->running) return;
+        platform_->set(servers_[server]->name, "removed");
+        start_server(server);
+    });
+}
+
+bool Fleet::is_prefill(std::size_t server) const { return servers_[server]->role == Role::reader; }
+
+void Fleet::note_fault(std::size_t server, Span span) {
+    const Microseconds now = machine_clock_us();
+    records_.server_faults[servers_[server]->name].push_back({now, now + span.us});
+}
+
+void Fleet::pause_server(std::size_t server, Span span) {
+    if (!servers_[server]->running) return;
+    note_fault(server, span + Span{50000});
+    signal(servers_[server]->name, SIGSTOP);
+    after(span, [this, server] { signal(servers_[server]->name, SIGCONT); });
+}
+
+void Fleet::crash_server(std::size_t server) {
+    Server& mine = *servers_[server];
+    if (!mine.ready) return;
+    const Microseconds now = machine_clock_us();
+    records_.server_deaths[mine.name].push_back(now);
+    note_fault(server, kServerGoneNotice);
+    signal(mine.name, SIGKILL);
+    mine.proxy->reset(1.0);
+}
+
+void Fleet::drain_server(std::size_t server, Span span) {
+    Server& mine = *servers_[server];
+    if (!mine.ready || mine.draining) return;
+    mine.draining = true;
+    const Microseconds now = machine_clock_us();
+    records_.withdrawn[mine.name].push_back({now, now + span.us});
+    platform_->set(mine.name, "draining");
+    after(span, [this, server] {
+        Server& drained = *servers_[server];
+        drained.draining = false;
+        if (drained.ready) platform_->set(drained.name, "up");
+    });
+}
+
+void Fleet::cut_off_server(std::size_t server, Span span) {
+    note_fault(server, span);
+    servers_[server]->proxy->cut_off(true);
+    after(span, [this, server] { servers_[server]->proxy->cut_off(false); });
+}
+
+void Fleet::silence_connections(std::size_t server, double share) {
+    servers_[server]->proxy->silence(share);
+}
+
+void Fleet::reset_connections(std::size_t server, double share) { servers_[server]->proxy->reset(share); }
+
+void Fleet::slow_connections(std::size_t server, Span delay, Span span) {
+    note_fault(server, span + delay);
+    servers_[server]->proxy->delay_new(delay);
+    after(span, [this, server] { servers_[server]->proxy->delay_new({}); });
+}
+
+// ---- discovery
+
+void Fleet::silence_discovery(Span span) {
+    platform_->discovery_is_silent(true);
+    after(span, [this] { platform_->discovery_is_silent(false); });
+}
+
+void Fleet::move_discovery() {
+    platform_->move_discovery();
+    for (std::size_t n = 0; n < gateways_.size(); ++n) reload_gateway(n);
+}
+
+void Fleet::heal() {
+    timers_.clear();
+    platform_->discovery_is_silent(false);
+    for (std::size_t n = 0; n < servers_.size(); ++n) {
+        signal(servers_[n]->name, SIGCONT);
+        servers_[n]->proxy->cut_off(false);
+        servers_[n]->proxy->delay_new({});
+    }
+    for (std::size_t n = 0; n < gateways_.size(); ++n) signal(gateways_[n]->name, SIGCONT);
+}
+
+}  // namespace copperfront::soak
--- /dev/null
+++ b/src/soak/fleet.h
@@ -0,0 +1,104 @@
+// The processes of a soak run: gateways, fake model servers behind proxies, and discovery. Every fault that can
+// be done to them is one method here, which notes its span for the judge.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "day/process.h"
+#include "net/loop.h"
+#include "soak/fault_proxy.h"
+#include "soak/load_client.h"
+#include "soak/records.h"
+#include "standin/platform.h"
+
+namespace copperfront::soak {
+
+struct FleetOptions {
+    std::string program;  // this program, which gateways and servers are started from
+    std::string folder;   // for configurations, logs and records
+    std::uint32_t seed = 1;
+    std::size_t gateways = 5, prefill_servers = 12, decode_servers = 12;
+    double server_fault_share = 0.05;
+    std::string shim;              // a library to preload into gateways; empty: none
+    std::string log_level = "info";  // of gateways
+};
+
+class Fleet : public GatewayDirectory {
+  public:
+    // Throws std::runtime_error or NetTrouble where something cannot be started.
+    Fleet(Loop& loop, const FleetOptions& options, Records& records);
+    ~Fleet() override;
+
+    void start();
+    // Whether all gateways and servers have said that they are ready.
+    bool is_ready() const;
+    bool gateways_have_exited() const;
+
+    std::size_t gateway_count() const override { return gateways_.size(); }
+    bool takes_connections(std::size_t gateway) const override;
+    Address gateway_address(std::size_t gateway) const override;
+    std::uint32_t gateway_life(std::size_t gateway) const override;
+
+    // ---- faults of gateways
+    // SIGTERM, the kill at the earliest time that the protocol allows, and a new start.
+    void restart_gateway(std::size_t gateway);
+    // SIGKILL without a word, and a new start.
+    void crash_gateway(std::size_t gateway);
+    // Another configuration, and SIGHUP.
+    void reload_gateway(std::size_t gateway);
+    // The process stands still.
+    void pause_gateway(std::size_t gateway, Span span);
+    void stop_all_gateways();
+
+    // ---- faults of model servers and the network
+    std::size_t server_count() const { return servers_.size(); }
+    bool is_prefill(std::size_t server) const;
+    void pause_server(std::size_t server, Span span);
+    void crash_server(std::size_t server);
+    // Out of service for a while, as discovery tells.
+    void drain_server(std::size_t server, Span span);
+    void cut_off_server(std::size_t server, Span span);
+    void silence_connections(std::size_t server, double share);
+    void reset_connections(std::size_t server, double share);
+    void slow_connections(std::size_t server, Span delay, Span span);
+
+    // ---- faults of discovery
+    void silence_discovery(Span span);
+    void silence_watches() { platform_->watches_fall_silent(); }
+    void reset_watches() { platform_->watches_are_reset(); }
+    // At another address, which gateways learn from a new configuration.
+    void move_discovery();
+
+    // Ends every fault that is under way.
+    void heal();
+
+  private:
+    struct Gateway;
+    struct Server;
+
+    void start_gateway(std::size_t gateway);
+    void start_server(std::size_t server);
+    void write_configuration(std::size_t gateway) const;
+    void gateway_ended(std::size_t gateway, int status);
+    void server_ended(std::size_t server);
+    void poll_ready(std::size_t gateway);
+    void note_fault(std::size_t server, Span span);
+    void after(Span span, std::function<void()> what);
+    void signal(const std::string& process, int which) { processes_.signal(process, which); }
+
+    Loop& loop_;
+    const FleetOptions options_;
+    Records& records_;
+    std::vector<std::unique_ptr<Gateway>> gateways_;
+    std::vector<std::unique_ptr<Server>> servers_;
+    std::unique_ptr<standin::Platform> platform_;
+    std::vector<std::unique_ptr<Timer>> timers_;
+    bool stopping_ = false;
+    day::Processes processes_;
+};
+
+}  // namespace copperfront::soak
--- /dev/null
+++ b/src/soak/judge.h
@@ -0,0 +1,30 @@
+// Judges a soak run by the platform's invariants, from what clients and servers recorded alone.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "soak/records.h"
+
+namespace copperfront::soak {
+
+struct JudgeOptions {
+    Microseconds release_within = 1000000;
+    Microseconds repeat_window = 2000000;  // in which servers know a repeat of a deduplicated request
+};
+
+struct Finding {
+    std::string rule, request, what;
+};
+
+struct Judgement {
+    std::vector<Finding> findings;
+    std::size_t requests = 0, completed = 0, rejected = 0, failed = 0, left = 0;
+    Microseconds longest_held = 0;
+    bool well() const { return findings.empty(); }
+    std::string text() const;
+};
+
+Judgement judge(const Records& records, const JudgeOptions& options);
+
+}  // namespace copperfront::soak
--- /dev/null
+++ b/src/soak/model_server.h
@@ -0,0 +1,41 @@
+// A fake model server that runs as a process of its own, so that it can be stopped, killed and started again
+// beside gateways. It keeps the platform's protocol, fails at random as model servers do, and records what
+// reached it. States of prefills are files in a folder that all servers of a run share.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "core/terms.h"
+#include "net/link.h"
+#include "net/loop.h"
+
+namespace copperfront::soak {
+
+struct ModelServerOptions {
+    std::string name;
+    Role role = Role::reader;
+    std::string listen = "127.0.0.1:0";
+    std::string states_folder;
+    std::string records_file;  // appended to
+    std::uint32_t seed = 1;
+    double fault_share = 0.05;  // of calls that meet a fault
+};
+
+class ModelServer {
+  public:
+    // Throws NetTrouble where it cannot listen, std::runtime_error where its files cannot be opened.
+    ModelServer(Loop& loop, const ModelServerOptions& options);
+    ~ModelServer();
+    ModelServer(const ModelServer&) = delete;
+    ModelServer& operator=(const ModelServer&) = delete;
+    Address address() const;
+
+  private:
+    class Connection;
+    struct State;
+    std::unique_ptr<State> state_;
+};
+
+}  // namespace copperfront::soak
--- /dev/null
+++ b/src/soak/soak_run.cpp
@@ -0,0 +1,269 @@
+#include "soak/soak_run.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <stdexcept>
+
+#include "net/loop.h"
+#include "soak/fleet.h"
+#include "soak/load_client.h"
+
+namespace copperfront::soak {
+namespace {
+
+constexpr Span kMs{1000};
+constexpr Span kReadyWithin = kMs * 20000;
+constexpr Span kLastRequestsWithin = kMs * 4500;  // the longest deadline, and what a client waits past it
+constexpr Span kExitWithin = kMs * 5000;
+constexpr Span kLookEvery = kMs * 20;
+constexpr int kCrowdConnections = 300;
+constexpr double kCrowdShare = 0.3;     // of the runs
+constexpr double kHungRoleShare = 0.8;  // of the servers of a role that hang together
+
+// Idle connections that say nothing.
+class Crowd {
+  public:
+    Crowd(Loop& loop, const Address& to) {
+        for (int n = 0; n < kCrowdConnections; ++n) {
+            members_.push_back(std::make_unique<Member>(loop));
+            members_.back()->stream = Stream::dial(loop, to, {0, 0}, *members_.back());
+        }
+    }
+
+  private:
+    struct Member : Stream::Owner {
+        explicit Member(Loop& the_loop) : loop(the_loop) {}
+        ~Member() override { Stream::hand_off(loop, std::move(stream), false); }
+        void bytes_came(Stream& s) override { s.drain(s.held()); }
+        void stream_closed(Stream&, Closing, const std::string&) override {}
+        Loop& loop;
+        std::unique_ptr<Stream> stream;
+    };
+    std::vector<std::unique_ptr<Member>> members_;
+};
+
+// Draws faults from the seed and does them, several at once.
+class FaultSchedule {
+  public:
+    FaultSchedule(Loop& loop, Fleet& fleet, std::uint32_t seed)
+        : loop_(loop), fleet_(fleet), chance_(seed), next_(loop, [this] { strike(); }) {
+        has_crowd_ = std::uniform_real_distribution<double>(0, 1)(chance_) < kCrowdShare;
+    }
+    void start() { next_.set(kMs * 300); }
+    void stop() {
+        next_.off();
+        crowd_.reset();
+    }
+
+  private:
+    enum class Fault {
+        pause_server,
+        pause_role,
+        crash_server,
+        drain_server,
+        cut_off_server,
+        silence_connections,
+        reset_connections,
+        slow_connections,
+        restart_gateway,
+        restart_series,
+        crash_gateway,
+        reload_series,
+        pause_gateway,
+        silence_discovery,
+        silence_watches,
+        reset_watches,
+        move_discovery,
+        crowd,
+    };
+    static constexpr int kFaults = static_cast<int>(Fault::crowd) + 1;
+
+    std::int64_t between(std::int64_t least, std::int64_t most) {
+        return std::uniform_int_distribution<std::int64_t>(least, most)(chance_);
+    }
+    Span span(std::int64_t least_ms, std::int64_t most_ms) {
+        return kMs * static_cast<double>(between(least_ms, most_ms));
+    }
+    std::size_t any_server() {
+        return static_cast<std::size_t>(between(0, static_cast<std::int64_t>(fleet_.server_count()) - 1));
+    }
+    std::size_t any_gateway() {
+        return static_cast<std::size_t>(between(0, static_cast<std::int64_t>(fleet_.gateway_count()) - 1));
+    }
+
+    void strike() {
+        strike_with(static_cast<Fault>(between(0, kFaults - 1)));
+        next_.set(span(50, 600));
+    }
+
+    void strike_with(Fault fault) {
+        switch (fault) {
+            case Fault::pause_server:
+                return fleet_.pause_server(any_server(), span(100, 4000));
+            case Fault::pause_role:
+                return pause_role();
+            case Fault::crash_server:
+                return fleet_.crash_server(any_server());
+            case Fault::drain_server:
+                return fleet_.drain_server(any_server(), span(500, 9000));
+            case Fault::cut_off_server:
+                return fleet_.cut_off_server(any_server(), span(200, 4000));
+            case Fault::silence_connections:
+                return fleet_.silence_connections(any_server(), 0.5);
+            case Fault::reset_connections:
+                return fleet_.reset_connections(any_server(), 0.5);
+            case Fault::slow_connections:
+                return fleet_.slow_connections(any_server(), span(20, 1000), span(200, 2000));
+            case Fault::restart_gateway:
+                return fleet_.restart_gateway(any_gateway());
+            case Fault::restart_series:
+                fleet_.reload_gateway(any_gateway());
+                for (int n = 0; n < 2; ++n) fleet_.restart_gateway(any_gateway());
+                return;
+            case Fault::crash_gateway:
+                return fleet_.crash_gateway(any_gateway());
+            case Fault::reload_series:
+                return reload_series();
+            case Fault::pause_gateway:
+                return fleet_.pause_gateway(any_gateway(), span(20, 150));
+            case Fault::silence_discovery:
+                return fleet_.silence_discovery(span(300, 3000));
+            case Fault::silence_watches:
+                return fleet_.silence_watches();
+            case Fault::reset_watches:
+                return fleet_.reset_watches();
+            case Fault::move_discovery:
+                return fleet_.move_discovery();
+            case Fault::crowd:
+                return come_in_crowds();
+        }
+    }
+
+    // Most servers of a role hang at once.
+    void pause_role() {
+        const bool prefill = between(0, 1) == 0;
+        const Span time = span(500, 3000);
+        for (std::size_t server = 0; server < fleet_.server_count(); ++server) {
+            if (fleet_.is_prefill(server) != prefill) continue;
+            if (std::uniform_real_distribution<double>(0, 1)(chance_) < kHungRoleShare)
+                fleet_.pause_server(server, time);
+        }
+    }
+
+    void reload_series() {
+        const std::size_t gateway = any_gateway();
+        const std::int64_t times = between(1, 4);
+        for (std::int64_t n = 0; n < times; ++n) fleet_.reload_gateway(gateway);
+    }
+
+    void come_in_crowds() {
+        if (!has_crowd_) return;
+        const std::size_t gateway = any_gateway();
+        if (!fleet_.takes_connections(gateway)) return;
+        crowd_ = std::make_unique<Crowd>(loop_, fleet_.gateway_address(gateway));
+    }
+
+    Loop& loop_;
+    Fleet& fleet_;
+    std::minstd_rand chance_;
+    bool has_crowd_ = false;
+    std::unique_ptr<Crowd> crowd_;
+    Timer next_;
+};
+
+// False: it has not come about by then.
+template <class Condition>
+bool wait_for(Loop& loop, Condition condition, Span limit) {
+    const Instant until = loop.now() + limit;
+    bool done = condition();
+    while (!done && loop.now() < until) {
+        Timer look(loop, [&] {
+            done = condition();
+            loop.stop();
+        });
+        look.set(kLookEvery);
+        loop.run();
+    }
+    return done;
+}
+
+void read_server_records(const std::string& folder, Records& records) {
+    for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+        if (entry.path().extension() != ".records") continue;
+        std::ifstream file(entry.path());
+        std::string line;
+        while (std::getline(file, line)) {
+            if (const auto record = record_of(line)) records.servers.push_back(*record);
+        }
+    }
+}
+
+// For whoever looks into a finding.
+void write_client_records(const std::string& folder, const Records& records) {
+    std::ofstream file(folder + "/clients.txt");
+    for (const RequestRecord& request : records.requests) {
+        file << request.request << " to n" << request.gateway << '.' << request.gateway_life << " effect "
+             << static_cast<int>(request.effect) << " sent " << request.sent << " deadline "
+             << request.deadline << " first byte " << request.first_byte << " ended " << request.ended << ' '
+             << text_of(request.fate) << (request.on_new_connection ? ", new connection" : "")
+             << (request.behind_another ? ", behind another" : "") << (request.spoilt ? ", spoilt" : "")
+             << '\n';
+    }
+    for (const GatewayLife& life : records.gateways) {
+        file << 'n' << life.gateway << '.' << life.life << " started " << life.started << " terminated "
+             << life.terminated << " killed " << life.killed << " exited " << life.exited << " status "
+             << life.status << " violations " << life.violations << '\n';
+    }
+}
+
+}  // namespace
+
+Judgement run_soak(const SoakOptions& options) {
+    Loop loop;
+    Records records;
+    FleetOptions fleet_options;
+    fleet_options.program = options.program;
+    fleet_options.folder = options.folder;
+    fleet_options.seed = options.seed;
+    fleet_options.gateways = options.gateways;
+    fleet_options.prefill_servers = options.prefill_servers;
+    fleet_options.decode_servers = options.decode_servers;
+    fleet_options.shim = options.shim;
+    fleet_options.log_level = options.log_level;
+    {
+        Fleet fleet(loop, fleet_options, records);
+        fleet.start();
+        if (!wait_for(loop, [&] { return fleet.is_ready(); }, kReadyWithin))
+            throw std::runtime_error("the fleet did not become ready; its logs are in " + options.folder);
+        std::vector<std::unique_ptr<LoadClient>> clients;
+        for (std::size_t n = 0; n < options.clients; ++n) {
+            clients.push_back(std::make_unique<LoadClient>(
+                loop, fleet, records.requests, "c" + std::to_string(n),
+                options.seed * 131 + static_cast<std::uint32_t>(n)));
+            clients.back()->start();
+        }
+        FaultSchedule faults(loop, fleet, options.seed);
+        faults.start();
+        wait_for(loop, [] { return false; }, kMs * (options.seconds * 1000));
+        faults.stop();
+        for (const auto& client : clients) client->stop();
+        fleet.heal();
+        const auto are_idle = [&] {
+            return std::all_of(clients.begin(), clients.end(), [](const auto& c) { return c->is_idle(); });
+        };
+        wait_for(loop, are_idle, kLastRequestsWithin);
+        // What is held after the last answers has its time too.
+        wait_for(loop, [] { return false; }, kMs * 1600);
+        records.ended = machine_clock_us();
+        fleet.stop_all_gateways();
+        wait_for(loop, [&] { return fleet.gateways_have_exited(); }, kExitWithin);
+    }
+    read_server_records(options.folder, records);
+    write_client_records(options.folder, records);
+    JudgeOptions judge_options;
+    return judge(records, judge_options);
+}
+
+}  // namespace copperfront::soak
--- /dev/null
+++ b/src/soak/soak_run.h
@@ -0,0 +1,24 @@
+// One seeded soak run: real processes under load, faults that overlap at random, and the judge's verdict.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "soak/judge.h"
+
+namespace copperfront::soak {
+
+struct SoakOptions {
+    std::string program;
+    std::string folder;  // for configurations, logs and records; made where it is not there
+    std::uint32_t seed = 1;
+    double seconds = 10;  // under faults
+    std::size_t gateways = 5, prefill_servers = 12, decode_servers = 12, clients = 40;
+    std::string shim;
+    std::string log_level = "info";
+};
+
+// Throws std::runtime_error where the fleet cannot be started.
+Judgement run_soak(const SoakOptions& options);
+
+}  // namespace copperfront::soak
