The time of a request that waits behind another one runs from when it came

Cause: the clock of a request started when its turn came, not at its last byte. Now each connection keeps when its bytes came, the wait is taken off the request's time, and one whose time is over is rejected at once without an attempt.

--- a/src/node/fronts.cpp
+++ b/src/node/fronts.cpp
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <vector>
 
+#include "node/arrival_times.h"
+
 namespace copperfront {
 namespace {
 
@@ -68,6 +70,7 @@
     }
 
     void bytes_came(Stream&) override {
+        if (taken_ + stream_->held() > arrivals_.newest()) arrivals_.note(taken_ + stream_->held(), all_.loop_.now());
         // Within a call more may come to an end than one message; each goes its way before the next is read.
         while (stage_ == Stage::quiet || stage_ == Stage::calling) {
             const std::string_view bytes = stream_->front();
@@ -80,7 +83,7 @@
                                                            [this](std::string_view piece) { gather(piece); });
             }
             const std::size_t took = message_->take(bytes);
-            stream_->drain(took);
+            take_out(took);
             if (overfull_) return refuse(503, "too much is being read; come back later");
             if (message_->trouble() != http::Trouble::none) {
                 const int status = message_->trouble() == http::Trouble::body_too_long   ? 413
@@ -98,7 +101,7 @@
         // behind the open one is not kept, and the connection ends after the answer.
         if (!discards_ && note_pipelined() && pipelined_ <= all_.bounds_.message.body_bytes) return;
         discards_ = closes_ = true;
-        stream_->drain(stream_->held());
+        take_out(stream_->held());
         note_pipelined();
     }
     void all_sent(Stream&) override {
@@ -151,6 +154,11 @@
     }
 
   private:
+    void take_out(std::size_t bytes) {
+        stream_->drain(bytes);
+        taken_ += bytes;
+    }
+
     // Winding up, what lies behind the open call is served before the connection ends.
     bool closes() const { return closes_ || (all_.winding_up_ && stream_->held() == 0); }
 
@@ -184,7 +192,8 @@
         all_.body_bytes_ -= body_.size();
         std::string body = std::move(body_);
         body_ = {};
-        all_.owner_.asked(id_, message->head(), std::move(body));
+        const Span waited = all_.loop_.now() - arrivals_.arrived(taken_);
+        all_.owner_.asked(id_, message->head(), std::move(body), waited);
     }
 
     void send(int status, std::string_view more, std::string_view body) {
@@ -233,6 +242,8 @@
     bool closes_ = false, has_asked_ = false, waits_ = false, overfull_ = false, told_to_go_on_ = false;
     bool discards_ = false, last_ = false;  // what comes is not kept; the answer says that it is the last
     std::size_t pipelined_ = 0;
+    std::uint64_t taken_ = 0;  // bytes of this connection, in all
+    ArrivalTimes arrivals_;
     Timer patience_;
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -122,7 +122,7 @@
 
 // ---- from clients
 
-void Node::asked(ClientId client, const http::Head& head, std::string body) {
+void Node::asked(ClientId client, const http::Head& head, std::string body, Span waited) {
     const std::string_view path = platform::path_of(head.target);
     if (path == platform::kReadyPath || path == platform::kLivePath) {
         if (head.method != "GET") return fronts_->answer(client, 405, "Allow: GET\r\n", "expected GET");
@@ -134,6 +134,9 @@
     platform::Call call;
     if (const std::string wrong = platform::read_call(head, body, terms_.named, call); !wrong.empty())
         return fronts_->answer(client, 400, "", wrong);
+    // Its time has run since its last byte came.
+    call.facts.budget = call.facts.budget - waited;
+    if (call.facts.budget.us <= 0) return fronts_->answer(client, 503, "", "its time is over");
     // Against an id of another's open query: that one is left alone.
     if (by_id_.count(call.id)) return fronts_->answer(client, 409, "", "a call with this id is open");
     if (desk_->open_queries() >= most_open_)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -76,7 +76,7 @@
     void closed(QueryIndex query) override;
     void log(std::string_view line) override;
 
-    void asked(ClientId client, const http::Head& head, std::string body) override;
+    void asked(ClientId client, const http::Head& head, std::string body, Span waited) override;
     void left(ClientId client) override;
     void may_go_on(ClientId client) override;
 
