A preloaded library makes a gateway's system calls fail; a soak that fails

tests/soak/fault_shim.cpp fails, shortens and interrupts accept, socket, connect, reads, writes, waits and socket options by a seeded schedule with bursts, and logs a line for each fault.

--- /dev/null
+++ b/tests/soak/fault_shim.cpp
@@ -0,0 +1,282 @@
+// A library to preload into a gateway under test (never linked into the program): makes system calls fail, be
+// short or be interrupted as Linux documents, and steps the wall clock, by a schedule that its seed decides.
+//
+//   FAULT_SHIM_SEED   number; the same seed draws the same faults for the same sequence of calls
+//   FAULT_SHIM_RATE   share of the calls that meet a fault outside bursts; 0.004 by default
+//   FAULT_SHIM_LOG    file that takes a line for each fault: call, descriptor, what, number of the draw, seed
+//   FAULT_SHIM_CLOCK  microseconds by which the wall clock is wrong from the start; 0 by default
+//
+// Connections of clients meet only what passes by itself (interruptions, short counts, lack of memory); those
+// to servers and discovery may break as well. What breaks is really broken, so that both ends agree.
+#include <arpa/inet.h>
+#include <dlfcn.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cerrno>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+
+namespace {
+
+constexpr int kMostDescriptors = 65536;
+constexpr double kBurstRate = 0.4;
+constexpr std::uint64_t kBurstOneIn = 40;        // slices of time with a burst of one kind of call
+constexpr std::uint64_t kSliceNanoseconds = 150000000;
+constexpr std::uint64_t kNanosecondsPerSecond = 1000000000;
+constexpr long kMicrosecondsPerSecond = 1000000;
+
+enum class Call : std::uint64_t { accept, socket, connect, read, write, wait, option };
+
+template <class Function>
+Function* real(const char* name) {
+    return reinterpret_cast<Function*>(dlsym(RTLD_NEXT, name));
+}
+
+std::uint64_t mixed(std::uint64_t x) {
+    x += 0x9e3779b97f4a7c15ULL;
+    x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+    return x ^ (x >> 31);
+}
+
+struct Settings {
+    std::uint64_t seed = 0;
+    double rate = 0.004;
+    int log = -1;
+    std::int64_t wall_clock_off_us = 0;
+    Settings() {
+        if (const char* text = getenv("FAULT_SHIM_SEED")) seed = strtoull(text, nullptr, 10);
+        if (const char* text = getenv("FAULT_SHIM_RATE")) rate = strtod(text, nullptr);
+        if (const char* text = getenv("FAULT_SHIM_CLOCK")) wall_clock_off_us = strtoll(text, nullptr, 10);
+        if (const char* text = getenv("FAULT_SHIM_LOG"))
+            log = open(text, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    }
+};
+const Settings& settings() {
+    static const Settings kept;
+    return kept;
+}
+
+std::atomic<std::uint64_t> draws{0};
+std::atomic<bool> accepted[kMostDescriptors];
+
+std::uint64_t slice_now() {
+    static const auto clock = real<int(clockid_t, timespec*)>("clock_gettime");
+    timespec at{};
+    clock(CLOCK_MONOTONIC, &at);
+    return (static_cast<std::uint64_t>(at.tv_sec) * kNanosecondsPerSecond + static_cast<std::uint64_t>(at.tv_nsec)) /
+           kSliceNanoseconds;
+}
+
+// A fresh random number where this call is to fail; 0: it is not.
+std::uint64_t strikes(Call call) {
+    const std::uint64_t draw = ++draws;
+    const std::uint64_t random = mixed(settings().seed * 1000003 + draw);
+    const std::uint64_t slice = mixed(settings().seed ^ mixed(slice_now() * 16 + static_cast<std::uint64_t>(call)));
+    const double rate = settings().rate > 0 && slice % kBurstOneIn == 0 ? kBurstRate : settings().rate;
+    const double drawn = static_cast<double>(random >> 11) / 9007199254740992.0;
+    return drawn < rate ? mixed(random) | 1 : 0;
+}
+
+void note(const char* call, int fd, const char* what) {
+    if (settings().log < 0) return;
+    char line[160];
+    const int length = snprintf(line, sizeof line, "%s %d %s %llu %llu\n", call, fd, what,
+                                static_cast<unsigned long long>(draws.load()),
+                                static_cast<unsigned long long>(settings().seed));
+    static const auto write_line = real<ssize_t(int, const void*, size_t)>("write");
+    if (length > 0) (void)!write_line(settings().log, line, static_cast<size_t>(length));
+}
+
+bool is_network(int fd) {
+    if (fd <= STDERR_FILENO || fd >= kMostDescriptors) return false;
+    static const auto name_of = real<int(int, sockaddr*, socklen_t*)>("getsockname");
+    sockaddr_storage address{};
+    socklen_t length = sizeof address;
+    const int kept = errno;
+    const bool network = name_of(fd, reinterpret_cast<sockaddr*>(&address), &length) == 0 &&
+                         (address.ss_family == AF_INET || address.ss_family == AF_INET6);
+    errno = kept;
+    return network;
+}
+
+struct Errno {
+    int number;
+    const char* name;
+};
+
+int fail(const char* call, int fd, const Errno& chosen) {
+    note(call, fd, chosen.name);
+    errno = chosen.number;
+    return -1;
+}
+
+// Of those that break a connection for good: it breaks for the peer as well.
+int break_connection(const char* call, int fd, const Errno& chosen) {
+    shutdown(fd, SHUT_RDWR);
+    return fail(call, fd, chosen);
+}
+
+constexpr Errno kAcceptFaults[] = {{ECONNABORTED, "ECONNABORTED"}, {EMFILE, "EMFILE"}, {ENFILE, "ENFILE"},
+                                   {ENOBUFS, "ENOBUFS"},           {ENOMEM, "ENOMEM"}, {EINTR, "EINTR"}};
+constexpr Errno kSocketFaults[] = {
+    {EMFILE, "EMFILE"}, {ENFILE, "ENFILE"}, {ENOBUFS, "ENOBUFS"}, {ENOMEM, "ENOMEM"}};
+constexpr Errno kConnectFaults[] = {{ECONNREFUSED, "ECONNREFUSED"}, {ENETUNREACH, "ENETUNREACH"},
+                                    {EADDRNOTAVAIL, "EADDRNOTAVAIL"}, {EHOSTUNREACH, "EHOSTUNREACH"},
+                                    {ETIMEDOUT, "ETIMEDOUT"}};
+constexpr Errno kPassingFaults[] = {
+    {EINTR, "EINTR"}, {EAGAIN, "EAGAIN"}, {ENOMEM, "ENOMEM"}, {ENOBUFS, "ENOBUFS"}};
+constexpr Errno kBreakingFaults[] = {{ECONNRESET, "ECONNRESET"}, {ETIMEDOUT, "ETIMEDOUT"},
+                                     {EHOSTUNREACH, "EHOSTUNREACH"}, {EPIPE, "EPIPE"}};
+constexpr Errno kPeekFaults[] = {{EINTR, "EINTR"}, {ENOMEM, "ENOMEM"}};
+constexpr Errno kOptionFaults[] = {{ENOBUFS, "ENOBUFS"}, {ENOMEM, "ENOMEM"}};
+
+template <std::size_t N>
+const Errno& one_of(const Errno (&faults)[N], std::uint64_t random) {
+    return faults[random / 8 % N];
+}
+
+// What happens to a call that moves bytes.
+enum class Transfer { usual, failed, short_count };
+Transfer transfer_fault(const char* call, int fd, Call kind, std::uint64_t& random) {
+    random = strikes(kind);
+    if (random == 0 || !is_network(fd)) return Transfer::usual;
+    const std::uint64_t sort = random / 1024 % 8;
+    if (sort < 4) {
+        note(call, fd, "short");
+        return Transfer::short_count;
+    }
+    if (sort < 7 || accepted[fd].load()) {
+        fail(call, fd, one_of(kPassingFaults, random));
+    } else {
+        break_connection(call, fd, one_of(kBreakingFaults, random));
+    }
+    return Transfer::failed;
+}
+
+std::size_t shortened(std::size_t size, std::uint64_t random) {
+    return size <= 1 ? size : 1 + random / 65536 % std::min<std::size_t>(size - 1, 64);
+}
+
+}  // namespace
+
+// NOLINTBEGIN(readability-identifier-naming): the names are the C library's.
+extern "C" {
+
+int accept4(int fd, sockaddr* address, socklen_t* length, int flags) {
+    static const auto next = real<int(int, sockaddr*, socklen_t*, int)>("accept4");
+    if (const std::uint64_t random = strikes(Call::accept)) return fail("accept4", fd, one_of(kAcceptFaults, random));
+    const int made = next(fd, address, length, flags);
+    if (made >= 0 && made < kMostDescriptors) accepted[made] = true;
+    return made;
+}
+
+int socket(int domain, int type, int protocol) {
+    static const auto next = real<int(int, int, int)>("socket");
+    if (domain == AF_INET)
+        if (const std::uint64_t random = strikes(Call::socket)) return fail("socket", -1, one_of(kSocketFaults, random));
+    const int made = next(domain, type, protocol);
+    if (made >= 0 && made < kMostDescriptors) accepted[made] = false;
+    return made;
+}
+
+int connect(int fd, const sockaddr* address, socklen_t length) {
+    static const auto next = real<int(int, const sockaddr*, socklen_t)>("connect");
+    const std::uint64_t random = strikes(Call::connect);
+    if (random == 0) return next(fd, address, length);
+    if (random / 8 % 4 != 0) return fail("connect", fd, one_of(kConnectFaults, random));
+    // Interrupted, it goes on by itself.
+    next(fd, address, length);
+    return fail("connect", fd, {EINTR, "EINTR"});
+}
+
+ssize_t readv(int fd, const iovec* pieces, int count) {
+    static const auto next = real<ssize_t(int, const iovec*, int)>("readv");
+    std::uint64_t random = 0;
+    switch (transfer_fault("readv", fd, Call::read, random)) {
+        case Transfer::failed:
+            return -1;
+        case Transfer::short_count: {
+            iovec first = pieces[0];
+            first.iov_len = shortened(first.iov_len, random);
+            return next(fd, &first, 1);
+        }
+        case Transfer::usual:
+            break;
+    }
+    return next(fd, pieces, count);
+}
+
+ssize_t writev(int fd, const iovec* pieces, int count) {
+    static const auto next = real<ssize_t(int, const iovec*, int)>("writev");
+    std::uint64_t random = 0;
+    switch (transfer_fault("writev", fd, Call::write, random)) {
+        case Transfer::failed:
+            return -1;
+        case Transfer::short_count: {
+            iovec first = pieces[0];
+            first.iov_len = shortened(first.iov_len, random);
+            return next(fd, &first, 1);
+        }
+        case Transfer::usual:
+            break;
+    }
+    return next(fd, pieces, count);
+}
+
+ssize_t recv(int fd, void* buffer, size_t size, int flags) {
+    static const auto next = real<ssize_t(int, void*, size_t, int)>("recv");
+    if (const std::uint64_t random = strikes(Call::read); random != 0 && is_network(fd))
+        return fail("recv", fd, one_of(kPeekFaults, random));
+    return next(fd, buffer, size, flags);
+}
+
+int poll(pollfd* fds, nfds_t count, int timeout) {
+    static const auto next = real<int(pollfd*, nfds_t, int)>("poll");
+    if (const std::uint64_t random = strikes(Call::wait)) return fail("poll", -1, one_of(kPeekFaults, random));
+    return next(fds, count, timeout);
+}
+
+int epoll_wait(int fd, epoll_event* events, int most, int timeout) {
+    static const auto next = real<int(int, epoll_event*, int, int)>("epoll_wait");
+    if (strikes(Call::wait) != 0) return fail("epoll_wait", fd, {EINTR, "EINTR"});
+    return next(fd, events, most, timeout);
+}
+
+int setsockopt(int fd, int level, int name, const void* value, socklen_t length) {
+    static const auto next = real<int(int, int, int, const void*, socklen_t)>("setsockopt");
+    if (const std::uint64_t random = strikes(Call::option); random != 0 && is_network(fd))
+        return fail("setsockopt", fd, one_of(kOptionFaults, random));
+    return next(fd, level, name, value, length);
+}
+
+int clock_gettime(clockid_t which, timespec* at) {
+    static const auto next = real<int(clockid_t, timespec*)>("clock_gettime");
+    const int result = next(which, at);
+    if (which != CLOCK_REALTIME || result != 0) return result;
+    const std::int64_t off = settings().wall_clock_off_us;
+    at->tv_sec += off / kMicrosecondsPerSecond;
+    at->tv_nsec += off % kMicrosecondsPerSecond * 1000;
+    if (at->tv_nsec < 0) {
+        --at->tv_sec;
+        at->tv_nsec += static_cast<long>(kNanosecondsPerSecond);
+    }
+    if (at->tv_nsec >= static_cast<long>(kNanosecondsPerSecond)) {
+        ++at->tv_sec;
+        at->tv_nsec -= static_cast<long>(kNanosecondsPerSecond);
+    }
+    return result;
+}
+
+}  // extern "C"
+// NOLINTEND(readability-identifier-naming)
