A lack of memory in a system call ends no connection and no start

Cause: any error of recv but EAGAIN and EINTR was taken for the peer's end, any error of a read or write ended its connection, and a listener that met ENOMEM at the start ended the process. The time of a release stands still while its request's stream runs, which the gateway's own check had counted as a violation.

--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -5,11 +5,22 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <chrono>
 #include <cstring>
+#include <thread>
 
 namespace copperfront {
 namespace {
 
+constexpr int kBacklog = 1024;
+constexpr int kMostBinds = 50;
+constexpr std::chrono::milliseconds kBindAgain{100};
+
+// What the system may lack for a moment.
+bool is_shortage(int error) {
+    return error == ENOMEM || error == ENOBUFS || error == EMFILE || error == ENFILE || error == EINTR;
+}
+
 constexpr Span kAcceptAgain{100000};  // after too many open files
 
 }  // namespace
@@ -94,14 +105,13 @@
 }
 
 Listener::Listener(Loop& loop, const Address& at, std::function<void(int fd)> came)
-    : loop_(loop), came_(std::move(came)), again_(loop, [this] { evconnlistener_enable(listener_); }) {
-    sockaddr_storage raw{};
-    const int length = at.fill(&raw);
-    listener_ = evconnlistener_new_bind(
-        loop.base(),
-        [](evconnlistener*, int fd, sockaddr*, int, void* self) { static_cast<Listener*>(self)->came_(fd); },
-        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, 1024,
-        reinterpret_cast<sockaddr*>(&raw), length);
+    : loop_(loop), asked_(at), came_(std::move(came)), again_(loop, [this] { evconnlistener_enable(listener_); }) {
+    bind();
+    // Against a process that does not start because the system lacked memory or descriptors for a moment.
+    for (int tries = 1; !listener_ && is_shortage(errno) && tries < kMostBinds; ++tries) {
+        std::this_thread::sleep_for(kBindAgain);
+        bind();
+    }
     if (!listener_) throw NetTrouble("cannot listen on " + at.text() + ": " + std::strerror(errno));
     evconnlistener_set_error_cb(listener_, [](evconnlistener*, void* self) {
         // Too many open files, for the most part. Accepting at once again would only spin.
@@ -113,6 +123,16 @@
     });
 }
 
+void Listener::bind() {
+    sockaddr_storage raw{};
+    const int length = asked_.fill(&raw);
+    listener_ = evconnlistener_new_bind(
+        loop_.base(),
+        [](evconnlistener*, int fd, sockaddr*, int, void* self) { static_cast<Listener*>(self)->came_(fd); },
+        this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, kBacklog,
+        reinterpret_cast<sockaddr*>(&raw), length);
+}
+
 Listener::~Listener() {
     if (listener_) evconnlistener_free(listener_);
 }
@@ -120,7 +140,8 @@
 Address Listener::address() const {
     sockaddr_storage raw{};
     socklen_t length = sizeof raw;
-    getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr*>(&raw), &length);
+    if (getsockname(evconnlistener_get_fd(listener_), reinterpret_cast<sockaddr*>(&raw), &length) != 0)
+        return asked_;
     return Address::of(reinterpret_cast<sockaddr*>(&raw));
 }
 
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -77,7 +77,10 @@
     std::function<void(const std::string&)> on_trouble;
 
   private:
+    void bind();
+
     Loop& loop_;
+    const Address asked_;
     std::function<void(int)> came_;
     evconnlistener* listener_ = nullptr;
     Timer again_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -11,6 +11,7 @@
 #include <cerrno>
 #include <cstring>
 #include <new>
+#include <utility>
 
 namespace copperfront {
 namespace {
@@ -21,6 +22,13 @@
 // Most that is read and dropped of a peer that is told to go; past it the close is not waited for.
 constexpr std::size_t kMostDropped = 4 << 20;
 
+constexpr Span kAgainAfter{5000};  // a read or write for which the system lacked memory
+
+// What a system call may fail with for a while, on a connection that is as sound as before.
+bool passes_by_itself(int error) {
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR || error == ENOMEM || error == ENOBUFS;
+}
+
 void no_delay(int fd) {
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -131,8 +139,8 @@
     char next = 0;
     const ssize_t there = recv(bufferevent_getfd(events_), &next, 1, MSG_PEEK | MSG_DONTWAIT);
     if (there > 0) return Pending::bytes;
-    const bool nothing = there < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
-    return nothing ? Pending::nothing : Pending::end;
+    // Against a connection that is taken for closed while it is not: its request would go unanswered.
+    return there < 0 && passes_by_itself(errno) ? Pending::nothing : Pending::end;
 }
 
 bool Stream::peer_has_ended() const {
@@ -150,6 +158,7 @@
 }
 
 void Stream::pause_reading(bool pause) {
+    paused_ = pause;
     if (pause)
         bufferevent_disable(events_, EV_READ);
     else
@@ -238,6 +247,8 @@
 
 void Stream::happened(bufferevent*, short what, void* self) {
     Stream& stream = *static_cast<Stream*>(self);
+    const int number = EVUTIL_SOCKET_ERROR();
+    if (stream.made_ && (what & BEV_EVENT_ERROR) && passes_by_itself(number)) return stream.go_on_soon(what);
     if (stream.flushing_) {
         stream.done_ = true;
         stream.last_words_->set(Span{0});
@@ -251,12 +262,25 @@
         stream.owner_->stream_made(stream);
         return;
     }
-    const std::string error = std::strerror(EVUTIL_SOCKET_ERROR());
+    const std::string error = std::strerror(number);
     if (!stream.made_) return stream.close(Closing::not_made, error);
     if (what & BEV_EVENT_EOF) return stream.close(Closing::peer_ended, "the peer closed the connection");
     stream.close(Closing::broken, error);
 }
 
+// The event library stops the direction that failed; what is queued stays.
+void Stream::go_on_soon(short what) {
+    const short direction = (what & BEV_EVENT_READING) ? EV_READ : EV_WRITE;
+    stopped_ = static_cast<short>(stopped_ | direction);
+    if (!again_) {
+        again_ = std::make_unique<Timer>(loop_, [this] {
+            const short wanted = std::exchange(stopped_, short{0});
+            if (!closed_) bufferevent_enable(events_, paused_ ? wanted & ~EV_READ : wanted);
+        });
+    }
+    again_->set(kAgainAfter);
+}
+
 void Stream::close(Closing why, std::string what) {
     if (closed_ || !owner_) return;
     closed_ = true;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -92,6 +92,7 @@
     static void drained(bufferevent*, void* self);
     static void happened(bufferevent*, short what, void* self);
     void close(Closing why, std::string what);
+    void go_on_soon(short what);
     void set_callbacks();
 
     Loop& loop_;
@@ -100,9 +101,11 @@
     bufferevent* events_ = nullptr;
     bool made_ = false, closed_ = false, flushing_ = false, polite_ = false, end_wanted_ = false,
          done_ = false;
+    bool paused_ = false;
+    short stopped_ = 0;  // directions that wait for the system to have memory again
     int stalled_ = 0;
     std::size_t dropped_ = 0, still_queued_ = 0;
-    std::unique_ptr<Timer> last_words_;
+    std::unique_ptr<Timer> last_words_, again_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/node/releases.cpp
+++ b/src/node/releases.cpp
@@ -85,6 +85,8 @@
     facts.lease_end = pool_.guard().state_lease_end(release.held_since);
     if (pool_.guard().may_release(facts) != Denial::none) {
         release.give_up_at = now + kGiveUpAfter;
+        // Its server runs and has the request: the time stands still until the stream has ended.
+        if (facts.stream_begun) release.held_since = now;
         return;
     }
     if (release.tries >= kMostTries || now > release.give_up_at) return finish(release, false);
--- a/tests/soak/fault_shim.cpp
+++ b/tests/soak/fault_shim.cpp
@@ -260,6 +260,13 @@
     return next(fd, level, name, value, length);
 }
 
+int getsockname(int fd, sockaddr* address, socklen_t* length) {
+    static const auto next = real<int(int, sockaddr*, socklen_t*)>("getsockname");
+    if (const std::uint64_t random = strikes(Call::option); random != 0 && is_network(fd))
+        return fail("getsockname", fd, one_of(kOptionFaults, random));
+    return next(fd, address, length);
+}
+
 int clock_gettime(clockid_t which, timespec* at) {
     static const auto next = real<int(clockid_t, timespec*)>("clock_gettime");
     const int result = next(which, at);
