Starts of servers are held against what the gateway saw, for stepped wall clocks

since_ms was compared with the wall clock alone: a server whose start lies an hour ahead stayed cold for that hour, and a newcomer whose start lies an hour back was warm at once. Now a start is not in the future, and one that a list which was up to date did not have is at most as old as that list and the 6 s that news takes. At the first list of a process there is nothing to hold it against. Log lines carry the wall clock of the start, carried on by the monotonic one.

--- a/src/logging/log.cpp
+++ b/src/logging/log.cpp
@@ -5,6 +5,7 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -27,6 +28,15 @@
     return spdlog::level::info;
 }
 
+// The wall clock as it was at the first line, carried on by the monotonic one: lines stay in order where the wall
+// clock is stepped.
+spdlog::log_clock::time_point time_now() {
+    static const auto wall_at_start = spdlog::log_clock::now();
+    static const auto steady_at_start = std::chrono::steady_clock::now();
+    const auto passed = std::chrono::steady_clock::now() - steady_at_start;
+    return wall_at_start + std::chrono::duration_cast<spdlog::log_clock::duration>(passed);
+}
+
 std::string json_text(std::string_view text) {
     return nlohmann::json(std::string(text)).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -75,7 +85,7 @@
             held = nlohmann::json(std::get<double>(value)).dump();
         line += json_ ? ",\"" + std::string(name) + "\":" + held : " " + std::string(name) + "=" + held;
     }
-    logger_->log(level_of(weight), "{}", line);
+    logger_->log(time_now(), spdlog::source_loc{}, level_of(weight), spdlog::string_view_t(line));
 }
 
 }  // namespace copperfront
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -68,13 +68,19 @@
     fronts_ = std::make_unique<Fronts>(loop, front_bounds(terms_), static_cast<Fronts::Owner&>(*this));
     servers_ = std::make_unique<Servers>(loop, server_bounds(terms_), static_cast<Servers::Owner&>(*this));
     discovery_ = std::make_unique<Discovery>(
-        loop, [this](const platform::News& news) { list_told(news); }, [this] { desk_->list_missed(); },
+        loop,
+        [this](const platform::News& news) {
+            list_told(news);
+            server_starts_.list_confirmed(loop_.now());
+        },
+        [this] { desk_->list_missed(); },
         terms_.seed, log);
     Outside& outside = *this;
     desk_ = std::make_unique<Desk>(terms_.core, outside, terms_.seed);
     desk_->limits_changed(std::vector<RouteLimits>{limits()}, terms_.core.gateways);
     platform::News known = terms_.known;
     known.whole = true;
+    // It may be old, so it confirms nothing.
     list_told(known);
     discovery_->follow(terms_.discovery);
     listener_ = std::make_unique<Listener>(loop, Address::parse(terms_.listen),
@@ -350,13 +356,13 @@
 
 // A name that is new takes the index of a server that has gone and owes nothing, so that a fleet that is
 // replaced all day long costs no more than its size.
-ServerIndex Node::index_of(const platform::Entry& entry) {
+ServerIndex Node::index_of(const platform::Entry& entry, Instant started) {
     const auto it = index_of_name_.find(entry.name);
     if (it != index_of_name_.end()) return it->second;
     ServerIndex index = static_cast<ServerIndex>(known_.size());
     for (ServerIndex s = 0; s < known_.size(); ++s) {
         // Another start is what tells the rules that it is another server.
-        if (!known_[s].gone || known_[s].born == entry.born || !servers_->is_idle(s)) continue;
+        if (!known_[s].gone || known_[s].born == started || !servers_->is_idle(s)) continue;
         index = s;
         index_of_name_.erase(known_[s].name);
         break;
@@ -386,12 +392,13 @@
                          {{"server", e.name}, {"error", bad.what()}});
                 continue;
             }
-            l.server = index_of(e);
+            const Instant started = server_starts_.start_of(e.name, e.born, loop_.now());
+            l.server = index_of(e, started);
             l.mark = mark(e.name);
             l.kind = static_cast<std::uint16_t>(*kind);
             l.zone = static_cast<std::uint16_t>(zones_.index(e.zone));
             l.cell = cells_.index(e.cell);
-            l.born = e.born;
+            l.born = started;
         }
         l.standing = e.standing;
         Known& mine = known_[l.server];
@@ -400,6 +407,7 @@
         mine.gone = l.standing == Standing::gone;
         if (l.server < named.size()) named[l.server] = true;
         if (mine.gone) {
+            server_starts_.forget(e.name);
             servers_->gone(l.server);
         } else {
             servers_->learn(l.server, e.address, e.born);
@@ -410,6 +418,7 @@
     for (ServerIndex s = 0; news.whole && s < named.size(); ++s) {
         if (named[s] || known_[s].gone) continue;
         known_[s].gone = true;
+        server_starts_.forget(known_[s].name);
         servers_->gone(s);
     }
     desk_->list_arrived(listings, news.whole);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -14,6 +14,7 @@
 #include "node/discovery.h"
 #include "node/fronts.h"
 #include "node/request_log.h"
+#include "node/server_starts.h"
 #include "node/servers.h"
 #include "platform/call.h"
 #include "platform/node_terms.h"
@@ -90,7 +91,7 @@
     SendGuard::Shutdown shutdown_facts() const;
 
     void list_told(const platform::News& news);
-    ServerIndex index_of(const platform::Entry& entry);
+    ServerIndex index_of(const platform::Entry& entry, Instant started);
     void send(LaunchId launch, ServerIndex to, QueryIndex query, Span limit, bool reading);
     void no_longer_out(LaunchId launch);
     Open& answered(QueryIndex query);
@@ -115,6 +116,7 @@
     std::vector<Known> known_;  // by server
     std::unordered_map<std::string, ServerIndex> index_of_name_;
     Names zones_, cells_;
+    ServerStarts server_starts_;
     bool stopping_ = false, ended_ = false;
     Instant stop_asked_;
     std::unique_ptr<Listener> listener_;
--- /dev/null
+++ b/tests/node/server_starts_test.cpp
@@ -0,0 +1,53 @@
+// Starts of servers that the wall clock tells wrongly, here or at the server.
+#include "node/server_starts.h"
+
+#include <gtest/gtest.h>
+
+namespace copperfront {
+namespace {
+
+constexpr Span seconds(std::int64_t n) { return {n * 1000000}; }
+constexpr Instant kNow{1800000000000000};
+
+TEST(ServerStarts, LongAgoStaysLongAgo) {
+    ServerStarts starts;
+    EXPECT_EQ(starts.start_of("s", {}, kNow), Instant{});
+}
+
+TEST(ServerStarts, AnHourAheadIsNotColdForEver) {
+    ServerStarts starts;
+    EXPECT_EQ(starts.start_of("s", kNow + seconds(3600), kNow), kNow);
+    // And it is the same start a minute later.
+    EXPECT_EQ(starts.start_of("s", kNow + seconds(3600), kNow + seconds(60)), kNow);
+}
+
+TEST(ServerStarts, FirstListIsTakenAsItIs) {
+    ServerStarts starts;
+    EXPECT_EQ(starts.start_of("s", kNow - seconds(3600), kNow), kNow - seconds(3600));
+}
+
+// The list of a moment ago did not have it, so it can't have run for an hour.
+TEST(ServerStarts, NewcomerIsNotWarmAtOnceWhereItsClockIsBehind) {
+    ServerStarts starts;
+    starts.list_confirmed(kNow - seconds(1));
+    EXPECT_GE(starts.start_of("s", kNow - seconds(3600), kNow), kNow - seconds(7));
+}
+
+TEST(ServerStarts, RestartIsTakenForOneThoughItsClockWasSteppedBack) {
+    ServerStarts starts;
+    const Instant first = starts.start_of("s", kNow - seconds(100), kNow);
+    starts.list_confirmed(kNow);
+    const Instant second = starts.start_of("s", kNow - seconds(3600), kNow + seconds(2));
+    EXPECT_NE(first, second);
+    EXPECT_GE(second, kNow - seconds(6));
+}
+
+// Discovery was out for a minute: what came meanwhile may be that old.
+TEST(ServerStarts, TimeWithoutAListIsAllowedFor) {
+    ServerStarts starts;
+    starts.list_confirmed(kNow - seconds(60));
+    EXPECT_EQ(starts.start_of("s", kNow - seconds(40), kNow), kNow - seconds(40));
+}
+
+}  // namespace
+}  // namespace copperfront
