Tests: held state is released in time through sixteen crossings of attempts and releases

Hand-overs whose connection never comes up, stays half written or meets three servers that hang; prefill answers cut, spoilt and reset; holders that drain, are removed, refuse or fall silent; a release answered before the read ends; connections used up; SIGTERM in between.

--- a/src/soak/model_server.cpp
+++ b/src/soak/model_server.cpp
@@ -161,11 +161,15 @@
         fault_ = state_.draw_fault();
         events_sent_ = 0;
         if (fault_ == CallFault::turned_away) return turn_away(503);
+        const bool prefill = state_.options.role == Role::reader;
+        // Nothing can run without its state, whatever else would go wrong with it.
+        if (!prefill && access(state_.state_file(request_).c_str(), F_OK) != 0) return turn_away(410);
         if (fault_ == CallFault::error) return finish(response(500, "", ""));
         if (fault_ == CallFault::reset_on_arrival) return break_off(true);
-        const bool prefill = state_.options.role == Role::reader;
-        if (!prefill && unlink(state_.state_file(request_).c_str()) != 0) return turn_away(410);
-        if (!prefill) state_.record(ServerEvent::taken, request_, call_);
+        if (!prefill) {
+            unlink(state_.state_file(request_).c_str());
+            state_.record(ServerEvent::taken, request_, call_);
+        }
         busy_ = true;
         if (fault_ == CallFault::interim_ahead) stream_->send("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
         if (fault_ == CallFault::never_answered && !prefill) return;
--- /dev/null
+++ b/tests/node/held_state_test.cpp
@@ -0,0 +1,191 @@
+// A held state is taken or released in time, whatever another attempt of its request does, whatever becomes of the
+// release, and whoever has to be told. What counts is when a running server reads a release.
+#include "scripted_world.h"
+
+namespace copperfront {
+namespace {
+
+// The settings' 1,000 ms, the protocol's slack of 300 ms, and a little for a busy machine.
+constexpr Span kHeldAtMost = ms(1400);
+
+struct HeldStateWorld : ScriptedWorld {
+    using ScriptedWorld::ScriptedWorld;
+
+    // How many releases running servers have read; each is answered.
+    std::size_t releases() {
+        answer_releases(prefill, answered_at_prefill_);
+        answer_releases(decode, answered_at_decode_);
+        return prefill.count("DELETE") + decode.count("DELETE") + platform.count("DELETE");
+    }
+    void expect_release_within(Instant held_since) {
+        until("a release", [&] { return releases() > 0; });
+        EXPECT_LE((loop.now() - held_since).ms(), kHeldAtMost.ms());
+    }
+    // Answers the first prefill and returns when.
+    Instant end_prefill() {
+        const auto connection = wait_for_post(prefill, 1);
+        prefill.send(connection, prefill_response());
+        return loop.now();
+    }
+
+  private:
+    std::size_t answered_at_prefill_ = 0, answered_at_decode_ = 0;
+};
+
+// ---- what the attempt after the read does
+
+class HeldStateEffects : public testing::TestWithParam<const char*> {};
+
+TEST_P(HeldStateEffects, HandOverWhoseConnectionNeverComesUp) {
+    HeldStateWorld w(settings_with_effect(GetParam()));
+    StalledListener stalled;
+    w.platform.point("w1", stalled.address());
+    w.wait_for_list();
+    auto client = w.client();
+    client->say(w.call(w.fresh(), "4000"));
+    w.expect_release_within(w.end_prefill());
+}
+
+TEST_P(HeldStateEffects, HandOverThatStaysHalfWritten) {
+    HeldStateWorld w(settings_with_effect(GetParam()));
+    StalledReader stalled;
+    w.platform.point("w1", stalled.address());
+    w.wait_for_list();
+    auto client = w.client();
+    client->say(w.call_with_content(w.fresh(), std::string(200000, 'a'), "4000"));
+    w.expect_release_within(w.end_prefill());
+}
+
+// Three servers hang, one after the other is met: no attempt gives the state more time.
+TEST_P(HeldStateEffects, SeveralServersThatHang) {
+    HeldStateWorld w(settings_with_effect(GetParam()));
+    StalledListener never_up;
+    StalledReader unread, also_unread;
+    w.platform.point("w1", never_up.address());
+    for (const auto& [name, at] : {std::pair{"w2", unread.address()}, std::pair{"w3", also_unread.address()}}) {
+        w.platform.add(name, Role::writer, "z", 1);
+        w.platform.point(name, at);
+    }
+    w.wait_for_list();
+    auto client = w.client();
+    client->say(w.call(w.fresh(), "4000"));
+    w.expect_release_within(w.end_prefill());
+}
+
+INSTANTIATE_TEST_SUITE_P(Each, HeldStateEffects, testing::Values("repeatable", "once"),
+                         [](const auto& param) { return std::string(param.param); });
+
+// ---- how the prefill's answer is lost
+
+class HeldStateLostAnswer : public testing::TestWithParam<const char*> {};
+
+TEST_P(HeldStateLostAnswer, IsReleased) {
+    const std::string how = GetParam();
+    HeldStateWorld w(settings_with_effect("once"));
+    auto client = w.client();
+    client->say(w.call(w.fresh(), "900"));
+    const auto connection = w.wait_for_post(w.prefill, 1);
+    const Instant ended = w.loop.now();
+    if (how == "cut") {
+        w.prefill.send(connection, prefill_response().substr(0, 30));
+        w.prefill.close(connection);
+    } else if (how == "spoilt") {
+        w.prefill.send(connection, "\x01 what is this\r\n\r\n");
+    } else {
+        w.prefill.reset(connection);
+    }
+    // The next prefill is turned away, so nothing follows that could take the state.
+    const auto next = w.wait_for_post(w.prefill, 2);
+    w.prefill.send(next, response_of(503, "X-Unprocessed: 1\r\n", ""));
+    w.expect_release_within(ended);
+}
+
+INSTANTIATE_TEST_SUITE_P(Each, HeldStateLostAnswer, testing::Values("cut", "spoilt", "reset"),
+                         [](const auto& param) { return std::string(param.param); });
+
+// ---- who has to be told, and what becomes of the release
+
+enum class Holder { draining, removed, refuses, silent };
+class HeldStateHolder : public testing::TestWithParam<Holder> {};
+
+TEST_P(HeldStateHolder, IsReleasedSomewhere) {
+    HeldStateWorld w;
+    StalledListener never_up;
+    w.platform.point("w1", never_up.address());
+    // A running server beside those that the test holds.
+    w.platform.add("r2", Role::reader, "z", 1);
+    w.platform.set("r2", "draining");
+    w.wait_for_list();
+    auto client = w.client();
+    client->say(w.call(w.fresh(), "4000"));
+    const auto connection = w.wait_for_post(w.prefill, 1);
+    StalledReader unread;
+    switch (GetParam()) {
+        case Holder::draining:
+            w.platform.set("r1", "draining");
+            break;
+        case Holder::removed:
+            w.platform.set("r1", "removed");
+            break;
+        case Holder::refuses:
+            w.platform.point("r1", "127.0.0.1:1");
+            break;
+        case Holder::silent:
+            w.platform.point("r1", unread.address());
+            break;
+    }
+    w.wait_for_list();
+    w.prefill.send(connection, prefill_response());
+    w.expect_release_within(w.loop.now());
+}
+
+INSTANTIATE_TEST_SUITE_P(Each, HeldStateHolder,
+                         testing::Values(Holder::draining, Holder::removed, Holder::refuses, Holder::silent));
+
+// It is answered while the read still runs, so it is told once more for the state that comes after it.
+TEST(HeldState, ReleaseAnsweredBeforeTheReadEndsIsRepeated) {
+    HeldStateWorld w;
+    auto client = w.client();
+    client->say(w.call(w.fresh(), "300"));
+    w.wait_for_post(w.prefill, 1);
+    w.until("a final answer", [&] { return client->status() != 0; });
+    const Instant over = w.loop.now();
+    w.until("two releases", [&] { return w.releases() >= 2; });
+    EXPECT_LE((w.loop.now() - over).ms(), kHeldAtMost.ms());
+    EXPECT_GE((w.loop.now() - over).ms(), 250.0);
+}
+
+// All connections that the gateway may have are taken by attempts that hang.
+TEST(HeldState, IsReleasedWhileConnectionsAreUsedUp) {
+    HeldStateWorld w(kSettings, 64);
+    auto first = w.client();
+    first->say(w.call(w.fresh(), "4000"));
+    const auto reading = w.wait_for_post(w.prefill, 1);
+    StalledReader unread;
+    w.platform.point("w1", unread.address());
+    w.wait_for_list();
+    std::vector<std::unique_ptr<Client>> others;
+    for (int n = 0; n < 60; ++n) {
+        others.push_back(w.client());
+        others.back()->say(w.call(w.fresh(), "4000"));
+    }
+    w.pass(ms(300));
+    w.prefill.send(reading, prefill_response());
+    w.expect_release_within(w.loop.now());
+}
+
+TEST(HeldState, IsReleasedAfterShutdownWasAsked) {
+    HeldStateWorld w(settings_with_effect("once"));
+    StalledReader unread;
+    w.platform.point("w1", unread.address());
+    w.wait_for_list();
+    auto client = w.client();
+    client->say(w.call(w.fresh(), "3000"));
+    const Instant held_since = w.end_prefill();
+    w.until("the hand-over", [&] { return unread.has_bytes(); });
+    w.node->stop();
+    w.expect_release_within(held_since);
+}
+
+}  // namespace
+}  // namespace copperfront
