At the lease's end what may be repeated leaves a server that has said nothing

Its state has been released, so that server could only turn it away; until now the request waited for it to the watch's bound or its deadline.

--- a/src/core/rules.cpp
+++ b/src/core/rules.cpp
@@ -1075,11 +1075,24 @@
 void Rules::state_expired(QueryIndex i) {
     Query& q = queries_[i];
     q.has_state = false;
+    if (q.stage == Stage::writing && q.out) return take_back_unheard(i);
     if (q.stage != Stage::parked) return;
     retry_or_end(i);
     serve_lines();
 }
 
+// What may simply be repeated does not wait for a server that has said nothing at all since its hand-over was
+// sent: without its state that can only be turned away.
+void Rules::take_back_unheard(QueryIndex i) {
+    Query& q = queries_[i];
+    const Category& c = terms_.categories[q.facts.category];
+    if (q.begun || q.called_off || heard_at_[q.server] > q.sent || c.effect != Effect::pure || !c.stream)
+        return;
+    q.called_off = true;
+    note_bad(q.server);
+    host_.retract(i, q.launches - 1);
+}
+
 void Rules::query_left(QueryIndex i) {
     Query& q = queries_[i];
     if (q.stage == Stage::over) return;
--- a/src/core/rules.h
+++ b/src/core/rules.h
@@ -197,6 +197,7 @@
     void retry_or_end(QueryIndex i);
     void end(QueryIndex i, Span stay_away);
     void over(QueryIndex i);
+    void take_back_unheard(QueryIndex i);
     std::uint32_t most_launches(const Query& q) const;
     Instant of_use_until(const Query& q) const;
     void serve_lines();
--- a/tests/core/cold_fleet_test.cpp
+++ b/tests/core/cold_fleet_test.cpp
@@ -176,7 +176,7 @@
 int main() {
     setvbuf(stdout, nullptr, _IOLBF, 0);
     bool well = true;
-    for (const std::size_t gateways : {3U, 20U, 30U, 300U})
+    for (const std::size_t gateways : {1U, 3U, 20U, 30U, 300U})
         for (const double restarted : {0.0, 0.7, 1.0})
             for (const std::uint32_t seed : {1U, 2U, 3U, 4U}) {
                 Fleet fleet(gateways, seed, seed > 2);
--- a/tests/node/held_state_test.cpp
+++ b/tests/node/held_state_test.cpp
@@ -175,6 +175,27 @@
     w.expect_release_within(w.loop.now());
 }
 
+// What may simply be repeated does not wait to its deadline for a server that says nothing: once its state
+// has been released, that server could only turn it away.
+TEST(HeldState, RepeatableRequestGoesElsewhereOnceItsStateIsReleased) {
+    HeldStateWorld w;
+    StalledReader unread;
+    w.platform.point("w1", unread.address());
+    w.wait_for_list();
+    auto client = w.client();
+    client->say(w.call(w.fresh(), "4000"));
+    const Instant held_since = w.end_prefill();
+    w.until("the hand-over", [&] { return unread.has_bytes(); });
+    w.platform.add("w2", Role::writer, "z", 1);
+    w.platform.point("w2", w.decode.address());
+    w.wait_for_list();
+    w.until("a release", [&] { return w.releases() > 0; });
+    w.prefill.send(w.wait_for_post(w.prefill, 2), prefill_response());
+    w.decode.send(w.wait_for_post(w.decode, 1), whole_stream("whole"));
+    w.until("the answer", [&] { return client->whole(); });
+    EXPECT_LE((w.loop.now() - held_since).ms(), kHeldAtMost.ms());
+}
+
 TEST(HeldState, IsReleasedAfterShutdownWasAsked) {
     HeldStateWorld w(settings_with_effect("once"));
     StalledReader unread;
