A read that was taken back is released once more when its server is heard from again

What lies unread in a socket is not taken back by a reset: measured on loopback, the reader gets the bytes first and the error after them.

--- a/src/node/releases.cpp
+++ b/src/node/releases.cpp
@@ -31,6 +31,7 @@
     release->held_since = order.held_since;
     if (order.unsure) release->told.insert(server);
     if (order.may_be_followed) release->not_before = loop_.now() + kBeforeFollowing;
+    release->ordered_at = loop_.now();
     release->give_up_at = loop_.now() + kGiveUpAfter;
     ++counts_.ordered;
     owed_.push_back(std::move(release));
@@ -125,8 +126,8 @@
         }
         // Against a read that ends well after all, just as its connection closed or broke.
         if (!std::exchange(release->unsure, false)) {
-            release->parked =
-                std::exchange(release->read_may_follow, false) && pool_.may_hang(release->server);
+            release->parked = std::exchange(release->read_may_follow, false) &&
+                              pool_.last_heard(release->server) <= release->ordered_at;
             if (!release->parked) return finish(*release, true);
             release->parked_until = loop_.now() + kParkedAtMost;
             return;
@@ -151,11 +152,13 @@
         release.over = true;
         return;
     }
-    if (pool_.may_hang(release.server) || pool_.use_of(release.id).attempt_in_flight) return;
+    const bool heard = pool_.last_heard(release.server) > release.ordered_at;
+    if (!heard || pool_.use_of(release.id).attempt_in_flight) return;
     release.parked = false;
     release.told.clear();
     release.calls_of_round = 1;
-    release.next_call_at = release.not_before = loop_.now();
+    // What lay in its socket all the while has to be read and run first.
+    release.next_call_at = release.not_before = loop_.now() + kUnsureAgainAfter;
     // Of a state that it may only now have left.
     release.held_since = loop_.now();
     release.give_up_at = loop_.now() + kGiveUpAfter;
--- a/src/node/releases.h
+++ b/src/node/releases.h
@@ -84,9 +84,10 @@
         std::vector<Call> calls;
         std::uint32_t tries = 0, calls_of_round = 1;
         bool unsure = false, over = false;
-        // Its read lies at a server that may hang: once that is heard from again, it is told once more.
+        // Its read may end yet at a server that has not been heard from since: once it is, it is told once
+        // more.
         bool read_may_follow = false, parked = false;
-        Instant parked_until;
+        Instant ordered_at, parked_until;
     };
 
     void go_on(Release& release);
