An unheard hand-over is taken back only past the time that hand-overs usually take

Cause: at 0.7 s every unheard hand-over was taken back, so a decode server whose first tokens take 0.8 s served nobody. Now it is only after eight have been learned from, and past their mean and six mean deviations.

--- a/src/core/rules.cpp
+++ b/src/core/rules.cpp
@@ -1082,12 +1082,15 @@
 }
 
 // What may simply be repeated does not wait for a server that has said nothing at all since its hand-over was
-// sent: without its state that can only be turned away.
+// sent, for far longer than hand-overs usually take: without its state that can only be turned away. Where
+// they usually take long, a server that is slow would be left for the next slow one.
 void Rules::take_back_unheard(QueryIndex i) {
     Query& q = queries_[i];
     const Category& c = terms_.categories[q.facts.category];
-    if (q.begun || q.called_off || heard_at_[q.server] > q.sent || c.effect != Effect::pure || !c.stream)
-        return;
+    if (q.begun || q.called_off || heard_at_[q.server] > q.sent) return;
+    if (c.effect != Effect::pure || !c.stream) return;
+    const Span usual = kMs * (first_time_.mean + kSpreads * first_time_.spread);
+    if (first_time_.samples < kPaceSamples || host_.now() - q.sent < usual) return;
     q.called_off = true;
     note_bad(q.server);
     host_.retract(i, q.launches - 1);
