Prefills that a hung server takes up late are followed until it answers

The release waited to hear from that server, which nobody asked anything. The answers of a release's first round no longer count for its second.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -280,7 +280,7 @@
     servers_->release(at, open.id, order);
 }
 
-Releases::Pool::Use Node::use_of(const std::string& id) const {
+ReleasePool::Use Node::use_of(const std::string& id) const {
     const auto it = by_id_.find(id);
     if (it == by_id_.end()) return {};
     const Open& open = open_[it->second];
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -85,7 +85,7 @@
     RequestLog::Attempt described(QueryIndex query, LaunchId launch) const;
     void events_came(LaunchId launch, std::string_view events, std::size_t count) override;
     Denial may_write(LaunchId launch, Span told) override;
-    Releases::Pool::Use use_of(const std::string& id) const override;
+    ReleasePool::Use use_of(const std::string& id) const override;
     void release_over(const std::string& id, bool answered, Instant held_since) override;
     SendGuard& guard() override { return desk_->guard(); }
     SendGuard::Shutdown shutdown_facts() const;
--- /dev/null
+++ b/src/node/release_pool.h
@@ -0,0 +1,39 @@
+// What releases need of the connections to model servers and of the gateway's requests.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "core/rules.h"
+#include "core/send_guard.h"
+
+namespace copperfront {
+
+using ReleaseCallId = std::uint64_t;  // one call of a release on a connection; 0: none
+
+// Connections to servers, and what the gateway knows of the request.
+class ReleasePool {
+  public:
+    virtual ~ReleasePool() = default;
+    virtual std::size_t server_count() const = 0;
+    // Known, and neither gone nor removed.
+    virtual bool is_reachable(ServerIndex server) const = 0;
+    // When anything last came from it; zero: never.
+    virtual Instant last_heard(ServerIndex server) const = 0;
+    // It leaves something unanswered for so long that it may hang.
+    virtual bool may_hang(ServerIndex server) const = 0;
+    // 0: no connection is to be had now. `call_ended` follows otherwise, never from within this call.
+    virtual ReleaseCallId start_release(ServerIndex server, const std::string& id) = 0;
+    virtual void cancel_release(ReleaseCallId call) = 0;
+    struct Use {
+        bool attempt_in_flight = false, stream_begun = false;
+    };
+    // What is under way for this request now.
+    virtual Use use_of(const std::string& id) const = 0;
+    // The release was answered, or given up; either way after this time.
+    virtual void release_over(const std::string& id, bool answered, Instant held_since) = 0;
+    virtual SendGuard& guard() = 0;
+};
+
+}  // namespace copperfront
--- a/src/node/releases.cpp
+++ b/src/node/releases.cpp
@@ -16,9 +16,6 @@
 constexpr Span kBeforeFollowing{50000};
 // A read whose end was not heard may end so long after its connection has closed.
 constexpr Span kUnsureAgainAfter{250000};
-// For a server that hangs to run again and read what lies in its socket. A reset of the connection does not
-// take that back.
-constexpr Span kParkedAtMost{10000000};
 
 }  // namespace
 
@@ -27,7 +24,7 @@
     auto release = std::make_unique<Release>();
     release->id = id;
     release->server = server;
-    release->unsure = release->read_may_follow = order.unsure;
+    release->unsure = release->read_may_end_late = order.unsure;
     release->held_since = order.held_since;
     if (order.unsure) release->told.insert(server);
     if (order.may_be_followed) release->not_before = loop_.now() + kBeforeFollowing;
@@ -38,11 +35,6 @@
     go_on(*owed_.back());
 }
 
-std::size_t Releases::owed() const {
-    return static_cast<std::size_t>(
-        std::count_if(owed_.begin(), owed_.end(), [](const auto& release) { return !release->parked; }));
-}
-
 void Releases::renew(const std::string& id) {
     for (const auto& release : owed_) {
         if (release->id == id) release->held_since = loop_.now();
@@ -78,7 +70,7 @@
     const Instant now = loop_.now();
     if (release.over || now < release.not_before || now < release.next_call_at) return;
     if (release.calls.size() >= kMostCallsAtOnce) return;
-    const Pool::Use use = pool_.use_of(release.id);
+    const ReleasePool::Use use = pool_.use_of(release.id);
     SendGuard::Release facts;
     facts.attempt_in_flight = use.attempt_in_flight;
     facts.stream_begun = use.stream_begun;
@@ -115,6 +107,7 @@
 }
 
 void Releases::call_ended(ReleaseCallId call, bool answered) {
+    if (late_reads_.call_ended(call, answered)) return;
     for (const auto& release : owed_) {
         const auto mine = std::find_if(release->calls.begin(), release->calls.end(),
                                        [call](const Call& one) { return one.id == call; });
@@ -124,14 +117,10 @@
             release->next_call_at = loop_.now();
             return;
         }
+        if (!release->unsure) return finish(*release, true);
         // Against a read that ends well after all, just as its connection closed or broke.
-        if (!std::exchange(release->unsure, false)) {
-            release->parked = std::exchange(release->read_may_follow, false) &&
-                              pool_.last_heard(release->server) <= release->ordered_at;
-            if (!release->parked) return finish(*release, true);
-            release->parked_until = loop_.now() + kParkedAtMost;
-            return;
-        }
+        release->unsure = false;
+        cancel_calls(*release);
         release->not_before = loop_.now() + kUnsureAgainAfter;
         release->calls_of_round = 1;
         release->told.clear();
@@ -139,29 +128,19 @@
     }
 }
 
-void Releases::finish(Release& release, bool answered) {
-    release.over = true;
-    if (!answered) ++counts_.lost;
+void Releases::cancel_calls(Release& release) {
     const std::vector<Call> calls = std::exchange(release.calls, {});
     for (const Call& call : calls) pool_.cancel_release(call.id);
-    pool_.release_over(release.id, answered, release.held_since);
 }
 
-void Releases::look_at_parked(Release& release) {
-    if (loop_.now() > release.parked_until || !pool_.is_reachable(release.server)) {
-        release.over = true;
-        return;
-    }
-    const bool heard = pool_.last_heard(release.server) > release.ordered_at;
-    if (!heard || pool_.use_of(release.id).attempt_in_flight) return;
-    release.parked = false;
-    release.told.clear();
-    release.calls_of_round = 1;
-    // What lay in its socket all the while has to be read and run first.
-    release.next_call_at = release.not_before = loop_.now() + kUnsureAgainAfter;
-    // Of a state that it may only now have left.
-    release.held_since = loop_.now();
-    release.give_up_at = loop_.now() + kGiveUpAfter;
+void Releases::finish(Release& release, bool answered) {
+    release.over = true;
+    if (!answered) ++counts_.lost;
+    cancel_calls(release);
+    const bool silent_since = pool_.last_heard(release.server) <= release.ordered_at;
+    if (release.read_may_end_late && silent_since && pool_.is_reachable(release.server))
+        late_reads_.follow(release.server, release.id);
+    pool_.release_over(release.id, answered, release.held_since);
 }
 
 void Releases::drop_late_calls(Release& release) {
@@ -180,10 +159,10 @@
 void Releases::look() {
     for (const auto& release : owed_) {
         drop_late_calls(*release);
-        if (release->parked) look_at_parked(*release);
-        if (!release->parked) go_on(*release);
+        go_on(*release);
     }
     std::erase_if(owed_, [](const auto& release) { return release->over; });
+    late_reads_.look();
 }
 
 }  // namespace copperfront
--- a/src/node/servers.cpp
+++ b/src/node/servers.cpp
@@ -218,7 +218,7 @@
     : loop_(loop),
       bounds_(bounds),
       owner_(owner),
-      releases_(loop, static_cast<Releases::Pool&>(*this)),
+      releases_(loop, static_cast<ReleasePool&>(*this)),
       look_(loop, [this] { look(); }) {
     look_.set(kLookEvery);
 }
--- a/src/node/servers.h
+++ b/src/node/servers.h
@@ -22,7 +22,7 @@
 
 namespace copperfront {
 
-class Servers : private Releases::Pool {
+class Servers : private ReleasePool {
   public:
     struct Bounds {
         std::size_t connections = 256;  // of all servers together
@@ -40,7 +40,7 @@
         // where that is denied.
         virtual Denial may_write(LaunchId launch, Span told) = 0;
         // What is under way for the request with this id.
-        virtual Releases::Pool::Use use_of(const std::string& id) const = 0;
+        virtual ReleasePool::Use use_of(const std::string& id) const = 0;
         virtual void release_over(const std::string& id, bool answered, Instant held_since) = 0;
         virtual SendGuard& guard() = 0;
     };
@@ -77,6 +77,7 @@
     // A server has answered an attempt of this request.
     void renew_releases(const std::string& id) { releases_.renew(id); }
     std::size_t owed() const { return releases_.owed(); }
+    std::size_t late_reads() const { return releases_.late_reads(); }
     const Releases::Counts& release_counts() const { return releases_.counts(); }
 
     std::size_t size() const { return lines_.size(); }
--- a/tests/node/fleet_test.cpp
+++ b/tests/node/fleet_test.cpp
@@ -206,7 +206,7 @@
         void events_came(LaunchId, std::string_view, std::size_t) override {}
         SendGuard send_guard{Span{1000000}};
         Denial may_write(LaunchId, Span) override { return Denial::none; }
-        Releases::Pool::Use use_of(const std::string&) const override { return {}; }
+        ReleasePool::Use use_of(const std::string&) const override { return {}; }
         void release_over(const std::string&, bool, Instant) override {}
         SendGuard& guard() override { return send_guard; }
     } owner;
