--- a/src/node/fronts.cpp
+++ b/src/node/client_connections.cpp
@@ -1,4 +1,4 @@
-#include "node/fronts.h"
+#include "node/client_connections.h"
 
 #include <unistd.h>
 
@@ -44,11 +44,11 @@
 
 }  // namespace
 
-class Fronts::Session : public Stream::Owner {
+class ClientConnections::Session : public Stream::Owner {
   public:
     enum class Stage { quiet, calling, open, streaming };
 
-    Session(Fronts& all, ClientId id, int fd)
+    Session(ClientConnections& all, ClientId id, int fd)
         : all_(all), id_(id), patience_(all.loop_, [this] { too_slow(); }) {
         stream_ = Stream::accepted(all.loop_, fd, {kMostUnsent, 0}, *this);
         rest(all.bounds_.message_within);
@@ -114,7 +114,7 @@
     }
     void stream_closed(Stream&, Closing, const std::string&) override {
         const bool open = stage_ == Stage::open || stage_ == Stage::streaming;
-        Fronts& all = all_;
+        ClientConnections& all = all_;
         const ClientId id = id_;
         all.drop(*this, false);
         if (open) all.owner_.left(id);
@@ -215,7 +215,7 @@
         rest(all_.bounds_.idle);
         // What came behind the call is read after whatever answered it is through.
         if (stream_->held() > 0) {
-            Fronts* const all = &all_;
+            ClientConnections* const all = &all_;
             all_.loop_.post([all, id = id_] {
                 if (Session* mine = all->find(id)) mine->bytes_came(*mine->stream_);
             });
@@ -234,7 +234,7 @@
         all_.drop(*this, true);
     }
 
-    Fronts& all_;
+    ClientConnections& all_;
     const ClientId id_;
     std::unique_ptr<Stream> stream_;
     Stage stage_ = Stage::quiet;
@@ -249,19 +249,19 @@
     Timer patience_;
 };
 
-Fronts::Fronts(Loop& loop, const Bounds& bounds, Owner& owner)
+ClientConnections::ClientConnections(Loop& loop, const Bounds& bounds, Owner& owner)
     : loop_(loop), bounds_(bounds), owner_(owner) {}
 
-Fronts::~Fronts() = default;
+ClientConnections::~ClientConnections() = default;
 
-bool Fronts::is_full() const { return sessions_.size() + loop_.adopted() >= bounds_.connections; }
+bool ClientConnections::is_full() const { return sessions_.size() + loop_.adopted() >= bounds_.connections; }
 
-Fronts::Session* Fronts::find(ClientId client) {
+ClientConnections::Session* ClientConnections::find(ClientId client) {
     const auto it = sessions_.find(client);
     return it == sessions_.end() ? nullptr : it->second.get();
 }
 
-void Fronts::came(int fd) {
+void ClientConnections::came(int fd) {
     while (is_full() && loop_.bury_oldest_adopted()) continue;
     if (is_full()) make_room();
     if (is_full()) {
@@ -274,21 +274,21 @@
 
 // Against connections by the hundreds that say nothing: the one that has been without an open call for
 // longest makes room.
-void Fronts::make_room() {
+void ClientConnections::make_room() {
     pass_over();
     if (idle_.empty()) return;
     Session& oldest = *find(idle_.front().first);
     if (may_close(oldest)) drop(oldest, false);
 }
 
-bool Fronts::may_close(const Session& session) {
+bool ClientConnections::may_close(const Session& session) {
     SendGuard::ClientConnection facts;
     facts.request_open = session.has_open_request();
     return owner_.guard().may_close(facts) == Denial::none;
 }
 
 // What has moved on must not pile up where room is never short.
-void Fronts::pass_over() {
+void ClientConnections::pass_over() {
     const auto stale = [&](const std::pair<ClientId, std::uint64_t>& entry) {
         const Session* session = find(entry.first);
         return !session || session->turn() != entry.second;
@@ -296,7 +296,7 @@
     while (!idle_.empty() && stale(idle_.front())) idle_.pop_front();
 }
 
-void Fronts::drop(Session& session, bool polite) {
+void ClientConnections::drop(Session& session, bool polite) {
     const auto it = sessions_.find(session.id());
     if (it == sessions_.end()) return;
     // It may be on the call stack.
@@ -310,39 +310,39 @@
     pass_over();
 }
 
-void Fronts::answer(ClientId client, int status, std::string_view more, std::string_view body) {
+void ClientConnections::answer(ClientId client, int status, std::string_view more, std::string_view body) {
     if (Session* s = find(client)) s->answer(status, more, body);
 }
 
-void Fronts::begin_stream(ClientId client) {
+void ClientConnections::begin_stream(ClientId client) {
     if (Session* s = find(client)) s->begin();
 }
 
-bool Fronts::pass_on(ClientId client, std::string_view events) {
+bool ClientConnections::pass_on(ClientId client, std::string_view events) {
     Session* s = find(client);
     return !s || s->pass_on(events);
 }
 
-void Fronts::end_stream(ClientId client) {
+void ClientConnections::end_stream(ClientId client) {
     if (Session* s = find(client)) s->finish();
 }
 
-std::size_t Fronts::unsent() const {
+std::size_t ClientConnections::unsent() const {
     std::size_t bytes = 0;
     for (const auto& [id, session] : sessions_) bytes += session->unsent();
     return bytes;
 }
 
-bool Fronts::has_left(ClientId client) const {
+bool ClientConnections::has_left(ClientId client) const {
     const auto it = sessions_.find(client);
     return it == sessions_.end() || it->second->has_left();
 }
 
-void Fronts::break_off(ClientId client) {
+void ClientConnections::break_off(ClientId client) {
     if (Session* s = find(client)) drop(*s, true);
 }
 
-void Fronts::wind_up() {
+void ClientConnections::wind_up() {
     winding_up_ = true;
     std::vector<Session*> idle;
     for (const auto& [id, session] : sessions_)
@@ -351,7 +351,7 @@
     for (Session* session : idle) drop(*session, true);
 }
 
-void Fronts::close_unasked() {
+void ClientConnections::close_unasked() {
     std::vector<Session*> unasked;
     for (const auto& [id, session] : sessions_)
         if (session->stage() == Session::Stage::quiet && may_close(*session))
@@ -359,7 +359,7 @@
     for (Session* session : unasked) drop(*session, true);
 }
 
-void Fronts::close_all() {
+void ClientConnections::close_all() {
     while (!sessions_.empty()) {
         Session& session = *sessions_.begin()->second;
         if (!may_close(session)) owner_.guard().violated(Invariant::answered_before_close);
--- a/src/node/fronts.h
+++ b/src/node/client_connections.h
@@ -20,7 +20,7 @@
 
 using ClientId = std::uint64_t;
 
-class Fronts {
+class ClientConnections {
   public:
     struct Bounds {
         std::size_t connections = 256;
@@ -43,8 +43,8 @@
         virtual SendGuard& guard() = 0;
     };
 
-    Fronts(Loop& loop, const Bounds& bounds, Owner& owner);
-    ~Fronts();
+    ClientConnections(Loop& loop, const Bounds& bounds, Owner& owner);
+    ~ClientConnections();
 
     void came(int fd);
     // A whole answer to the open call. `more`: further head lines, each with its line end.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -13,7 +13,7 @@
 constexpr double kUsualMemoryMb = 256;
 // Kept for listeners, discovery, the loop's own and connections that are about to close.
 constexpr std::size_t kAside = 24, kAsideShare = 16;
-constexpr double kFrontsPart = 0.48;
+constexpr double kClientPart = 0.48;
 constexpr std::size_t kReleaseLines = 8;  // connections kept for releases
 constexpr double kBodiesPart = 0.125;     // of the memory
 constexpr double kIdlePart = 0.7;         // of the time after which a server closes an idle connection
@@ -24,19 +24,19 @@
 constexpr Span kLookForEnd{20000}, kLastWords{100000};
 
 struct Sizes {
-    std::size_t fronts, servers;
+    std::size_t clients, servers;
 };
 
 Sizes sizes_of(const platform::NodeTerms& terms) {
     const std::size_t sockets = std::max<std::size_t>(terms.sockets > 0 ? terms.sockets : kUsualSockets, 64);
     const std::size_t free = sockets - std::min(sockets / 2, kAside + sockets / kAsideShare);
-    const auto fronts = static_cast<std::size_t>(static_cast<double>(free) * kFrontsPart);
-    return {fronts, free - fronts};
+    const auto clients = static_cast<std::size_t>(static_cast<double>(free) * kClientPart);
+    return {clients, free - clients};
 }
 
-Fronts::Bounds front_bounds(const platform::NodeTerms& terms) {
-    Fronts::Bounds bounds;
-    bounds.connections = sizes_of(terms).fronts;
+ClientConnections::Bounds front_bounds(const platform::NodeTerms& terms) {
+    ClientConnections::Bounds bounds;
+    bounds.connections = sizes_of(terms).clients;
     const double mb = terms.memory_mb > 0 ? terms.memory_mb : kUsualMemoryMb;
     bounds.body_bytes = static_cast<std::size_t>(mb * kBodiesPart * (1 << 20));
     return bounds;
@@ -46,8 +46,8 @@
     return terms.links.idle.us > 0 ? terms.links.idle * kIdlePart : kUsualIdle;
 }
 
-Servers::Bounds server_bounds(const platform::NodeTerms& terms) {
-    Servers::Bounds bounds;
+UpstreamPool::Bounds server_bounds(const platform::NodeTerms& terms) {
+    UpstreamPool::Bounds bounds;
     bounds.connections = sizes_of(terms).servers;
     bounds.idle = idle_of(terms);
     return bounds;
@@ -65,8 +65,10 @@
       stop_timer_(loop, [this] { look_for_end(); }) {
     const Sizes sizes = sizes_of(terms_);
     most_open_ = sizes.servers - std::min(sizes.servers / 2, kReleaseLines);
-    fronts_ = std::make_unique<Fronts>(loop, front_bounds(terms_), static_cast<Fronts::Owner&>(*this));
-    servers_ = std::make_unique<Servers>(loop, server_bounds(terms_), static_cast<Servers::Owner&>(*this));
+    clients_ = std::make_unique<ClientConnections>(loop, front_bounds(terms_),
+                                                   static_cast<ClientConnections::Owner&>(*this));
+    upstreams_ =
+        std::make_unique<UpstreamPool>(loop, server_bounds(terms_), static_cast<UpstreamPool::Owner&>(*this));
     discovery_ = std::make_unique<Discovery>(
         loop,
         [this](const platform::News& news) {
@@ -83,15 +85,15 @@
     list_told(known);
     discovery_->follow(terms_.discovery);
     listener_ = std::make_unique<Listener>(loop, Address::parse(terms_.listen),
-                                           [this](int fd) { fronts_->came(fd); });
+                                           [this](int fd) { clients_->came(fd); });
     listener_->on_trouble = [this](const std::string& what) {
-        log_.say(Weight::warn, "fronts", "cannot accept connections for a moment", {{"error", what}});
+        log_.say(Weight::warn, "clients", "cannot accept connections for a moment", {{"error", what}});
     };
     log_.say(Weight::info, "node", "started",
              {{"node", terms_.name},
               {"address", address().text()},
               {"servers", static_cast<std::int64_t>(index_of_name_.size())},
-              {"client_connections", static_cast<std::int64_t>(sizes.fronts)},
+              {"client_connections", static_cast<std::int64_t>(sizes.clients)},
               {"server_connections", static_cast<std::int64_t>(sizes.servers)}});
 }
 
@@ -119,7 +121,7 @@
     }
     // The list in hand is newer than any that a file could tell.
     terms_ = std::move(terms);
-    servers_->change(idle_of(terms_));
+    upstreams_->change(idle_of(terms_));
     desk_->terms_changed(terms_.core, std::vector<RouteLimits>{limits()});
     if (!ended_) discovery_->follow(terms_.discovery);
     log_.say(Weight::info, "node", "new terms hold", {{"discovery", terms_.discovery}});
@@ -130,25 +132,25 @@
 void Node::asked(ClientId client, const http::Head& head, std::string body, Span waited) {
     const std::string_view path = platform::path_of(head.target);
     if (path == platform::kReadyPath || path == platform::kLivePath) {
-        if (head.method != "GET") return fronts_->answer(client, 405, "Allow: GET\r\n", "expected GET");
+        if (head.method != "GET") return clients_->answer(client, 405, "Allow: GET\r\n", "expected GET");
         const bool ready = path == platform::kLivePath || (!stopping_ && !index_of_name_.empty());
-        return fronts_->answer(client, ready ? 200 : 503, "", ready ? "ready" : "not ready");
+        return clients_->answer(client, ready ? 200 : 503, "", ready ? "ready" : "not ready");
     }
-    if (path != platform::kCallPath) return fronts_->answer(client, 404, "", "no such path");
-    if (head.method != "POST") return fronts_->answer(client, 405, "Allow: POST\r\n", "expected POST");
+    if (path != platform::kCallPath) return clients_->answer(client, 404, "", "no such path");
+    if (head.method != "POST") return clients_->answer(client, 405, "Allow: POST\r\n", "expected POST");
     platform::Call call;
     if (const std::string wrong = platform::read_call(head, body, terms_.named, call); !wrong.empty())
-        return fronts_->answer(client, 400, "", wrong);
+        return clients_->answer(client, 400, "", wrong);
     // Its time has run since its last byte came.
     call.facts.budget = call.facts.budget - waited;
-    if (call.facts.budget.us <= 0) return fronts_->answer(client, 503, "", "its time is over");
+    if (call.facts.budget.us <= 0) return clients_->answer(client, 503, "", "its time is over");
     // Against an id of another's open query: that one is left alone.
-    if (by_id_.count(call.id)) return fronts_->answer(client, 409, "", "a call with this id is open");
+    if (by_id_.count(call.id)) return clients_->answer(client, 409, "", "a call with this id is open");
     if (desk_->open_queries() >= most_open_)
-        return fronts_->answer(client, 503, "", "too many calls in hand");
+        return clients_->answer(client, 503, "", "too many calls in hand");
     if (const Denial denial = guard().may_accept(stopping_, loop_.now() - stop_asked_);
         denial != Denial::none)
-        return fronts_->answer(client, 503, "", text_of(denial));
+        return clients_->answer(client, 503, "", text_of(denial));
     const QueryIndex query = desk_->open();
     if (query >= open_.size()) open_.resize(query + 1);
     Open& open = open_[query];
@@ -178,7 +180,7 @@
 
 void Node::may_go_on(ClientId client) {
     const auto it = by_client_.find(client);
-    if (it != by_client_.end()) servers_->hold_back(open_[it->second].bound, false);
+    if (it != by_client_.end()) upstreams_->hold_back(open_[it->second].bound, false);
 }
 
 // ---- to clients
@@ -192,23 +194,23 @@
 
 void Node::settled(QueryIndex query) {
     request_log_.request_over(open_[query].id, RequestLog::Final::completed, "", loop_.now());
-    fronts_->end_stream(answered(query).client);
+    clients_->end_stream(answered(query).client);
 }
 
 void Node::declined(QueryIndex query, Span stay_away, std::string_view why) {
     char more[64] = "";
     request_log_.request_over(open_[query].id, RequestLog::Final::rejected, why, loop_.now());
     if (stay_away.us > 0) std::snprintf(more, sizeof more, "Retry-After: %.3f\r\n", stay_away.ms() / 1000);
-    fronts_->answer(answered(query).client, why == kOverItsShare ? 429 : 503, more, why);
+    clients_->answer(answered(query).client, why == kOverItsShare ? 429 : 503, more, why);
 }
 
 void Node::given_up(QueryIndex query, std::string_view why) {
     request_log_.request_over(open_[query].id, RequestLog::Final::failed, why, loop_.now());
     const Open& open = answered(query);
     if (open.streams)
-        fronts_->break_off(open.client);
+        clients_->break_off(open.client);
     else
-        fronts_->answer(open.client, 504, "", why);
+        clients_->answer(open.client, 504, "", why);
 }
 
 void Node::closed(QueryIndex query) {
@@ -224,7 +226,7 @@
     ++open.out;
     of_launch_[launch] = query;
     request_log_.attempt_started(described(query, launch), loop_.now());
-    Servers::Call call;
+    UpstreamPool::Call call;
     call.reading = reading;
     call.until = loop_.now() + limit;
     std::string& head = call.before;
@@ -234,7 +236,7 @@
     call.after.reserve(open.body.size() + 64);
     call.after.append("\r\nContent-Length: ").append(std::to_string(open.body.size())).append("\r\n\r\n");
     call.after.append(open.body);
-    servers_->send(to, launch, std::move(call));
+    upstreams_->send(to, launch, std::move(call));
 }
 
 void Node::send_read(LaunchId launch, ServerIndex to, QueryIndex query, Span limit) {
@@ -255,11 +257,11 @@
         request_log_.attempt_over(described(it->second, launch), Ending::retracted,
                                   "called off by the gateway", loop_.now());
     no_longer_out(launch);
-    servers_->call_off(launch);
+    upstreams_->call_off(launch);
 }
 
 bool Node::unsend(LaunchId launch, ServerIndex) {
-    if (!servers_->unsend(launch)) return false;
+    if (!upstreams_->unsend(launch)) return false;
     no_longer_out(launch);
     return true;
 }
@@ -277,7 +279,7 @@
     order.held_since = held_since;
     const bool lease_ended = loop_.now() >= guard().state_lease_end(held_since);
     request_log_.state_released(open.id, known_[at].name, loop_.now() - held_since, lease_ended, loop_.now());
-    servers_->release(at, open.id, order);
+    upstreams_->release(at, open.id, order);
 }
 
 ReleasePool::Use Node::use_of(const std::string& id) const {
@@ -294,7 +296,7 @@
 
 Denial Node::may_write(LaunchId launch, Span told) {
     const auto it = of_launch_.find(launch);
-    const bool gone = it == of_launch_.end() || fronts_->has_left(open_[it->second].client);
+    const bool gone = it == of_launch_.end() || clients_->has_left(open_[it->second].client);
     return desk_->may_be_written(launch, gone, told);
 }
 
@@ -324,10 +326,10 @@
         if (open.out > 0) --open.out;
         if (outcome.ending == Ending::read) open.state = launch;
         const Ending e = outcome.ending;
-        if (e == Ending::read || e == Ending::full || e == Ending::error) servers_->renew_releases(open.id);
+        if (e == Ending::read || e == Ending::full || e == Ending::error) upstreams_->renew_releases(open.id);
         if (outcome.ending == Ending::unsent) {
             const ClientId client = open.client;
-            fronts_->break_off(client);
+            clients_->break_off(client);
             left(client);
         }
     }
@@ -346,9 +348,9 @@
         // Nothing is sent for it any more.
         open.body = {};
         open.forwarded_fields = {};
-        fronts_->begin_stream(open.client);
+        clients_->begin_stream(open.client);
     }
-    if (!fronts_->pass_on(open.client, events)) servers_->hold_back(launch, true);
+    if (!clients_->pass_on(open.client, events)) upstreams_->hold_back(launch, true);
 }
 
 // ---- the list
@@ -361,7 +363,7 @@
     ServerIndex index = static_cast<ServerIndex>(known_.size());
     for (ServerIndex s = 0; s < known_.size(); ++s) {
         // Another start is what tells the rules that it is another server.
-        if (!known_[s].gone || known_[s].born == started || !servers_->is_idle(s)) continue;
+        if (!known_[s].gone || known_[s].born == started || !upstreams_->is_idle(s)) continue;
         index = s;
         index_of_name_.erase(known_[s].name);
         break;
@@ -407,10 +409,10 @@
         if (l.server < named.size()) named[l.server] = true;
         if (mine.gone) {
             server_starts_.forget(e.name);
-            servers_->gone(l.server);
+            upstreams_->gone(l.server);
         } else {
-            servers_->learn(l.server, e.address, e.born);
-            if (l.standing == Standing::draining) servers_->shun(l.server);
+            upstreams_->learn(l.server, e.address, e.born);
+            if (l.standing == Standing::draining) upstreams_->shun(l.server);
         }
         listings.push_back(l);
     }
@@ -418,7 +420,7 @@
         if (named[s] || known_[s].gone) continue;
         known_[s].gone = true;
         server_starts_.forget(known_[s].name);
-        servers_->gone(s);
+        upstreams_->gone(s);
     }
     desk_->list_arrived(listings, news.whole);
 }
@@ -435,7 +437,7 @@
     stop_asked_ = loop_.now();
     log_.say(Weight::info, "node", "stops; lets open queries end",
              {{"queries", static_cast<std::int64_t>(desk_->open_queries())}});
-    fronts_->wind_up();
+    clients_->wind_up();
     look_for_end();
 }
 
@@ -445,7 +447,7 @@
     facts.listening = listener_ != nullptr;
     facts.requests = desk_->open_queries();
     facts.attempts = desk_->launches_out();
-    facts.releases = servers_->owed();
+    facts.releases = upstreams_->owed();
     facts.unsent_answers = loop_.adopted();
     return facts;
 }
@@ -454,17 +456,17 @@
     if (ended_) return loop_.stop();
     if (listener_ && guard().may_stop_listening(shutdown_facts()) == Denial::none) {
         listener_.reset();
-        fronts_->close_unasked();
+        clients_->close_unasked();
     }
     // What is still being written to clients has a bound of its own.
-    const bool clients_left = fronts_->size() > 0 && loop_.now() - stop_asked_ < kClientsEndWithin;
+    const bool clients_left = clients_->size() > 0 && loop_.now() - stop_asked_ < kClientsEndWithin;
     if (guard().may_exit(shutdown_facts()) != Denial::none || clients_left)
         return stop_timer_.set(kLookForEnd);
     discovery_->stop();
-    fronts_->close_all();
+    clients_->close_all();
     const Tally& t = desk_->tally();
-    const Servers::Counts& c = servers_->counts();
-    const Releases::Counts& r = servers_->release_counts();
+    const UpstreamPool::Counts& c = upstreams_->counts();
+    const Releases::Counts& r = upstreams_->release_counts();
     log_.say(Weight::info, "node", "stopped",
              {{"came", static_cast<std::int64_t>(t.came)},
               {"settled", static_cast<std::int64_t>(t.settled)},
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -11,17 +11,17 @@
 #include "desk/desk.h"
 #include "logging/log.h"
 #include "net/link.h"
+#include "node/client_connections.h"
 #include "node/discovery.h"
-#include "node/fronts.h"
 #include "node/request_log.h"
 #include "node/server_starts.h"
-#include "node/servers.h"
+#include "node/upstream_pool.h"
 #include "platform/call.h"
 #include "platform/node_terms.h"
 
 namespace copperfront {
 
-class Node : private Outside, private Fronts::Owner, private Servers::Owner {
+class Node : private Outside, private ClientConnections::Owner, private UpstreamPool::Owner {
   public:
     // Listens at once; throws NetTrouble where it cannot.
     Node(Loop& loop, platform::NodeTerms terms, Log& log);
@@ -34,8 +34,8 @@
     // loop.
     void stop();
     const Desk& desk() const { return *desk_; }
-    const Servers& servers() const { return *servers_; }
-    const Fronts& fronts() const { return *fronts_; }
+    const UpstreamPool& upstreams() const { return *upstreams_; }
+    const ClientConnections& clients() const { return *clients_; }
     // Whether the list has this server now, and how many indices servers have ever taken at once.
     bool knows(const std::string& name) const {
         const auto it = index_of_name_.find(name);
@@ -120,8 +120,8 @@
     bool stopping_ = false, ended_ = false;
     Instant stop_asked_;
     std::unique_ptr<Listener> listener_;
-    std::unique_ptr<Fronts> fronts_;
-    std::unique_ptr<Servers> servers_;
+    std::unique_ptr<ClientConnections> clients_;
+    std::unique_ptr<UpstreamPool> upstreams_;
     std::unique_ptr<Discovery> discovery_;
     std::unique_ptr<Desk> desk_;
     Timer wake_, stop_timer_;
--- a/src/node/releases.cpp
+++ b/src/node/releases.cpp
@@ -138,8 +138,9 @@
     if (!answered) ++counts_.lost;
     cancel_calls(release);
     const bool silent_since = pool_.last_heard(release.server) <= release.ordered_at;
-    if (release.read_may_end_late && silent_since && pool_.is_reachable(release.server))
+    if (release.read_may_end_late && silent_since && pool_.is_reachable(release.server)) {
         late_reads_.follow(release.server, release.id);
+    }
     pool_.release_over(release.id, answered, release.held_since);
 }
 
--- a/src/node/servers.cpp
+++ b/src/node/upstream_pool.cpp
@@ -1,4 +1,4 @@
-#include "node/servers.h"
+#include "node/upstream_pool.h"
 
 #include <algorithm>
 
@@ -15,11 +15,11 @@
 
 }  // namespace
 
-class Servers::Line : public Stream::Owner {
+class UpstreamPool::Connection : public Stream::Owner {
   public:
     enum class Use { none, launch, release };
 
-    Line(Servers& all, ServerIndex server, const Address& to, std::uint32_t life)
+    Connection(UpstreamPool& all, ServerIndex server, const Address& to, std::uint32_t life)
         : all_(all), server_(server), life_(life) {
         stream_ = Stream::dial(all.loop_, to, {0, kHeldBytes}, *this);
     }
@@ -59,7 +59,7 @@
         if (std::exchange(held_back_, hold) == hold) return;
         stream_->pause_reading(hold);
         if (hold) return;
-        Servers* const all = &all_;
+        UpstreamPool* const all = &all_;
         all_.loop_.post([all, self = this, launch = launch_] {
             const auto it = all->out_.find(launch);
             if (it != all->out_.end() && it->second == self) self->read();
@@ -71,8 +71,8 @@
 
     void stream_made(Stream&) override { write(); }
     void bytes_came(Stream&) override {
-        all_.doors_[server_].heard = all_.loop_.now();
-        all_.doors_[server_].unanswered_since = {};
+        all_.upstreams_[server_].heard = all_.loop_.now();
+        all_.upstreams_[server_].unanswered_since = {};
         // Against a second answer that comes late: the next request would take it for its own.
         if (use_ == Use::none) return all_.drop(*this, false);
         read();
@@ -99,7 +99,8 @@
     void write() {
         const Call call = std::exchange(call_, {});
         if (call.before.empty()) return;
-        if (Instant& since = all_.doors_[server_].unanswered_since; since.us == 0) since = all_.loop_.now();
+        if (Instant& since = all_.upstreams_[server_].unanswered_since; since.us == 0)
+            since = all_.loop_.now();
         if (use_ == Use::release) return stream_->send(call.before);
         const Span left = call.until - all_.loop_.now();
         switch (const Denial denial = all_.owner_.may_write(launch_, left)) {
@@ -195,7 +196,7 @@
         all_.ended(*this, outcome);
     }
 
-    Servers& all_;
+    UpstreamPool& all_;
     const ServerIndex server_;
     const std::uint32_t life_;
     std::unique_ptr<Stream> stream_;
@@ -214,7 +215,7 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-Servers::Servers(Loop& loop, const Bounds& bounds, Owner& owner)
+UpstreamPool::UpstreamPool(Loop& loop, const Bounds& bounds, Owner& owner)
     : loop_(loop),
       bounds_(bounds),
       owner_(owner),
@@ -223,152 +224,153 @@
     look_.set(kLookEvery);
 }
 
-Servers::~Servers() = default;
-
-void Servers::learn(ServerIndex server, const std::string& address, Instant born) {
-    if (server >= doors_.size()) doors_.resize(server + 1);
-    Door& door = doors_[server];
-    door.gone = false;
-    if (door.known && door.text == address && door.born == born) return;
-    door.address = Address::parse(address);
-    door.text = address;
-    door.born = born;
-    door.known = true;
+UpstreamPool::~UpstreamPool() = default;
+
+void UpstreamPool::learn(ServerIndex server, const std::string& address, Instant born) {
+    if (server >= upstreams_.size()) upstreams_.resize(server + 1);
+    Upstream& upstream = upstreams_[server];
+    upstream.gone = false;
+    if (upstream.known && upstream.text == address && upstream.born == born) return;
+    upstream.address = Address::parse(address);
+    upstream.text = address;
+    upstream.born = born;
+    upstream.known = true;
     // Against connections to a process that is no more, also ones that have yet to come up.
-    ++door.life;
+    ++upstream.life;
     shun(server);
-    while (!door.idle.empty()) drop(*door.idle.back(), false);
+    while (!upstream.idle.empty()) drop(*upstream.idle.back(), false);
 }
 
-void Servers::shun(ServerIndex server) {
-    if (server >= doors_.size()) return;
-    std::vector<Line*> waiting;
-    for (const auto& [launch, line] : out_)
-        if (line->server() == server && line->nothing_sent()) waiting.push_back(line);
-    for (Line* line : waiting) lost(*line, Loss::never_sent, "the server takes nothing new");
+void UpstreamPool::shun(ServerIndex server) {
+    if (server >= upstreams_.size()) return;
+    std::vector<Connection*> waiting;
+    for (const auto& [launch, connection] : out_)
+        if (connection->server() == server && connection->nothing_sent()) waiting.push_back(connection);
+    for (Connection* connection : waiting)
+        lost(*connection, Loss::never_sent, "the server takes nothing new");
 }
 
-void Servers::gone(ServerIndex server) {
-    if (server >= doors_.size()) return;
+void UpstreamPool::gone(ServerIndex server) {
+    if (server >= upstreams_.size()) return;
     shun(server);
-    doors_[server].gone = true;
-    while (!doors_[server].idle.empty()) drop(*doors_[server].idle.back(), false);
+    upstreams_[server].gone = true;
+    while (!upstreams_[server].idle.empty()) drop(*upstreams_[server].idle.back(), false);
 }
 
-bool Servers::is_idle(ServerIndex server) const {
-    return server >= doors_.size() || doors_[server].lines == 0;
+bool UpstreamPool::is_idle(ServerIndex server) const {
+    return server >= upstreams_.size() || upstreams_[server].connections == 0;
 }
 
 // The newest idle one, which is the likeliest to be alive. Against bytes or an end that have come in the very
 // moment in which it is taken, the system is asked: such a connection is no longer of use. Null: there is
 // none.
-Servers::Line* Servers::take_idle(Door& door) {
-    for (std::size_t n = door.idle.size(); n-- > 0;) {
-        Line* line = door.idle[n];
+UpstreamPool::Connection* UpstreamPool::take_idle(Upstream& upstream) {
+    for (std::size_t n = upstream.idle.size(); n-- > 0;) {
+        Connection* connection = upstream.idle[n];
         // Too young, it may be used later.
-        const bool quiet = line->is_quiet();
-        if (owner_.guard().may_reuse({quiet, loop_.now() - line->rested()}) == Denial::none) {
-            door.idle.erase(door.idle.begin() + static_cast<std::ptrdiff_t>(n));
-            return line;
+        const bool quiet = connection->is_quiet();
+        if (owner_.guard().may_reuse({quiet, loop_.now() - connection->rested()}) == Denial::none) {
+            upstream.idle.erase(upstream.idle.begin() + static_cast<std::ptrdiff_t>(n));
+            return connection;
         }
-        if (!quiet) drop(*line, false);
+        if (!quiet) drop(*connection, false);
     }
     return nullptr;
 }
 
-Servers::Line* Servers::line_to(ServerIndex server) {
-    Door& door = doors_.at(server);
-    if (Line* line = take_idle(door)) {
+UpstreamPool::Connection* UpstreamPool::connection_to(ServerIndex server) {
+    Upstream& upstream = upstreams_.at(server);
+    if (Connection* connection = take_idle(upstream)) {
         ++counts_.reused;
-        return line;
+        return connection;
     }
-    if (lines_.size() >= bounds_.connections) make_room();
-    auto fresh = std::make_unique<Line>(*this, server, door.address, door.life);
-    Line* line = fresh.get();
-    lines_.emplace(line, std::move(fresh));
-    ++door.lines;
+    if (connections_.size() >= bounds_.connections) make_room();
+    auto fresh = std::make_unique<Connection>(*this, server, upstream.address, upstream.life);
+    Connection* connection = fresh.get();
+    connections_.emplace(connection, std::move(fresh));
+    ++upstream.connections;
     ++counts_.made;
-    return line;
+    return connection;
 }
 
-bool Servers::make_room() {
-    Line* oldest = nullptr;
-    for (const Door& door : doors_)
-        if (!door.idle.empty() && (!oldest || door.idle.front()->rested() < oldest->rested()))
-            oldest = door.idle.front();
+bool UpstreamPool::make_room() {
+    Connection* oldest = nullptr;
+    for (const Upstream& upstream : upstreams_)
+        if (!upstream.idle.empty() && (!oldest || upstream.idle.front()->rested() < oldest->rested()))
+            oldest = upstream.idle.front();
     if (oldest) drop(*oldest, false);
     return oldest != nullptr;
 }
 
-void Servers::send(ServerIndex server, LaunchId launch, Call call) {
+void UpstreamPool::send(ServerIndex server, LaunchId launch, Call call) {
     if (owner_.may_write(launch, call.until - loop_.now()) == Denial::client_gone) return not_awaited(launch);
-    Line* line = line_to(server);
-    out_[launch] = line;
-    line->carry(launch, std::move(call));
+    Connection* connection = connection_to(server);
+    out_[launch] = connection;
+    connection->carry(launch, std::move(call));
 }
 
-void Servers::call_off(LaunchId launch) {
+void UpstreamPool::call_off(LaunchId launch) {
     const auto it = out_.find(launch);
     if (it == out_.end()) return;
-    Line& line = *it->second;
+    Connection& connection = *it->second;
     out_.erase(it);
     // Against a server that hangs and reads later what lies in its socket: a reset takes that back, an end
     // does not, and the launch would run after another one of its query.
-    drop(line, true);
+    drop(connection, true);
 }
 
-bool Servers::unsend(LaunchId launch) {
+bool UpstreamPool::unsend(LaunchId launch) {
     if (not_awaited_.erase(launch) > 0) return true;
     const auto it = out_.find(launch);
     if (it == out_.end() || !it->second->never_sent()) return false;
-    Line& line = *it->second;
+    Connection& connection = *it->second;
     out_.erase(it);
     ++counts_.not_made;
-    drop(line, true);
+    drop(connection, true);
     return true;
 }
 
-void Servers::hold_back(LaunchId launch, bool hold) {
+void UpstreamPool::hold_back(LaunchId launch, bool hold) {
     if (const auto it = out_.find(launch); it != out_.end()) it->second->hold_back(hold);
 }
 
-void Servers::drop(Line& line, bool reset) {
-    const auto held = lines_.find(&line);
-    if (held == lines_.end()) return;
-    Door& door = doors_[line.server()];
-    std::erase(door.idle, &line);
-    --door.lines;
+void UpstreamPool::drop(Connection& connection, bool reset) {
+    const auto held = connections_.find(&connection);
+    if (held == connections_.end()) return;
+    Upstream& upstream = upstreams_[connection.server()];
+    std::erase(upstream.idle, &connection);
+    --upstream.connections;
     // It may be on the call stack.
-    std::unique_ptr<Line> buried = std::move(held->second);
-    lines_.erase(held);
-    *line.alive_ = false;
-    if (line.use() == Line::Use::release) released(line, false);
+    std::unique_ptr<Connection> buried = std::move(held->second);
+    connections_.erase(held);
+    *connection.alive_ = false;
+    if (connection.use() == Connection::Use::release) released(connection, false);
     if (reset)
-        Stream::reset(loop_, line.take_stream());
+        Stream::reset(loop_, connection.take_stream());
     else
-        Stream::hand_off(loop_, line.take_stream(), false);
+        Stream::hand_off(loop_, connection.take_stream(), false);
     loop_.bury(std::move(buried));
 }
 
-void Servers::ended(Line& line, const Outcome& outcome) {
-    const LaunchId launch = line.launch();
+void UpstreamPool::ended(Connection& connection, const Outcome& outcome) {
+    const LaunchId launch = connection.launch();
     out_.erase(launch);
-    rest(line);
+    rest(connection);
     owner_.launch_over(launch, outcome, "");
 }
 
-void Servers::lost(Line& line, Loss loss, const std::string& what) {
-    if (line.use() != Line::Use::launch) return drop(line, false);
+void UpstreamPool::lost(Connection& connection, Loss loss, const std::string& what) {
+    if (connection.use() != Connection::Use::launch) return drop(connection, false);
     const bool never_sent = loss == Loss::never_sent;
-    const LaunchId launch = line.launch();
+    const LaunchId launch = connection.launch();
     out_.erase(launch);
     ++(never_sent ? counts_.not_made : counts_.broken);
-    const bool stale = line.is_stale();
-    Door& door = doors_[line.server()];
-    drop(line, never_sent);
+    const bool stale = connection.is_stale();
+    Upstream& upstream = upstreams_[connection.server()];
+    drop(connection, never_sent);
     // Against servers that part with kept connections without a word: the others there are as old, and each
     // would cost a launch to find out.
-    while (stale && !door.idle.empty()) drop(*door.idle.back(), false);
+    while (stale && !upstream.idle.empty()) drop(*upstream.idle.back(), false);
     Outcome outcome;
     outcome.ending = never_sent ? Ending::unreachable : Ending::broken;
     outcome.stale = stale && !never_sent;
@@ -377,7 +379,7 @@
 }
 
 // Against a launch for a client that has gone, whose end waits behind other events.
-void Servers::not_awaited(LaunchId launch) {
+void UpstreamPool::not_awaited(LaunchId launch) {
     out_.erase(launch);
     ++counts_.not_made;
     not_awaited_.insert(launch);
@@ -390,58 +392,59 @@
     });
 }
 
-void Servers::rest(Line& line) {
-    Door& door = doors_[line.server()];
-    if (!line.is_reusable() || door.gone || line.life() != door.life) {
-        line.rest();
-        return drop(line, false);
+void UpstreamPool::rest(Connection& connection) {
+    Upstream& upstream = upstreams_[connection.server()];
+    if (!connection.is_reusable() || upstream.gone || connection.life() != upstream.life) {
+        connection.rest();
+        return drop(connection, false);
     }
-    line.rest();
-    door.idle.push_back(&line);
+    connection.rest();
+    upstream.idle.push_back(&connection);
 }
 
 // ---- releases
 
-bool Servers::is_reachable(ServerIndex server) const {
-    return server < doors_.size() && doors_[server].known && !doors_[server].gone;
+bool UpstreamPool::is_reachable(ServerIndex server) const {
+    return server < upstreams_.size() && upstreams_[server].known && !upstreams_[server].gone;
 }
 
-bool Servers::may_hang(ServerIndex server) const {
-    const Instant since = doors_[server].unanswered_since;
+bool UpstreamPool::may_hang(ServerIndex server) const {
+    const Instant since = upstreams_[server].unanswered_since;
     return since.us != 0 && loop_.now() - since >= kMayHangAfter;
 }
 
-ReleaseCallId Servers::start_release(ServerIndex server, const std::string& id) {
+ReleaseCallId UpstreamPool::start_release(ServerIndex server, const std::string& id) {
     // Not over the part of the descriptors that is the servers'.
-    if (doors_[server].idle.empty() && lines_.size() >= bounds_.connections && !make_room()) return 0;
+    if (upstreams_[server].idle.empty() && connections_.size() >= bounds_.connections && !make_room())
+        return 0;
     const ReleaseCallId call = next_release_call_++;
-    Line* line = line_to(server);
-    release_calls_[call] = line;
-    line->carry_release(call, "DELETE /bootstrap/rooms/" + id + " HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+    Connection* connection = connection_to(server);
+    release_calls_[call] = connection;
+    connection->carry_release(call, "DELETE /bootstrap/rooms/" + id + " HTTP/1.1\r\nHost: app.svc\r\n\r\n");
     return call;
 }
 
-void Servers::cancel_release(ReleaseCallId call) {
+void UpstreamPool::cancel_release(ReleaseCallId call) {
     const auto it = release_calls_.find(call);
     if (it == release_calls_.end()) return;
-    Line& line = *it->second;
+    Connection& connection = *it->second;
     release_calls_.erase(it);
-    drop(line, true);
+    drop(connection, true);
 }
 
-void Servers::released(Line& line, bool answered) {
-    const ReleaseCallId call = line.release_call();
+void UpstreamPool::released(Connection& connection, bool answered) {
+    const ReleaseCallId call = connection.release_call();
     const bool known = release_calls_.erase(call) > 0;
-    if (answered) rest(line);
+    if (answered) rest(connection);
     if (known) releases_.call_ended(call, answered);
 }
 
-void Servers::look() {
+void UpstreamPool::look() {
     const Instant now = loop_.now();
     releases_.look();
-    for (Door& door : doors_)
-        while (!door.idle.empty() && now - door.idle.front()->rested() >= bounds_.idle)
-            drop(*door.idle.front(), false);
+    for (Upstream& upstream : upstreams_)
+        while (!upstream.idle.empty() && now - upstream.idle.front()->rested() >= bounds_.idle)
+            drop(*upstream.idle.front(), false);
     look_.set(releases_.owed() > 0 ? kLookWhileOwed : kLookEvery);
 }
 
--- a/src/node/servers.h
+++ b/src/node/upstream_pool.h
@@ -22,7 +22,7 @@
 
 namespace copperfront {
 
-class Servers : private ReleasePool {
+class UpstreamPool : private ReleasePool {
   public:
     struct Bounds {
         std::size_t connections = 256;  // of all servers together
@@ -32,7 +32,7 @@
     class Owner {
       public:
         virtual ~Owner() = default;
-        // Never from within a call to Servers. `what`: a plain reason, where there is one.
+        // Never from within a call to the pool. `what`: a plain reason, where there is one.
         virtual void launch_over(LaunchId launch, const Outcome& outcome, const std::string& what) = 0;
         // Whole events, unchanged; `count` of them carry something.
         virtual void events_came(LaunchId launch, std::string_view events, std::size_t count) = 0;
@@ -45,8 +45,8 @@
         virtual SendGuard& guard() = 0;
     };
 
-    Servers(Loop& loop, const Bounds& bounds, Owner& owner);
-    ~Servers() override;
+    UpstreamPool(Loop& loop, const Bounds& bounds, Owner& owner);
+    ~UpstreamPool() override;
 
     void change(Span idle) { bounds_.idle = idle; }
     // Known from now on at this address; another one, or another start, parts with the connections so far.
@@ -80,7 +80,7 @@
     std::size_t late_reads() const { return releases_.late_reads(); }
     const Releases::Counts& release_counts() const { return releases_.counts(); }
 
-    std::size_t size() const { return lines_.size(); }
+    std::size_t size() const { return connections_.size(); }
     std::size_t launches() const { return out_.size(); }
     struct Counts {
         std::uint64_t made = 0, reused = 0, not_made = 0, broken = 0, spoilt = 0;
@@ -88,40 +88,40 @@
     const Counts& counts() const { return counts_; }
 
   private:
-    class Line;
-    friend class Line;
-    struct Door {
+    class Connection;
+    friend class Connection;
+    struct Upstream {
         Address address;
         std::string text;
         Instant born;
         std::uint32_t life =
             0;  // of its process, or its address: connections to an earlier one are of no use
         bool known = false, gone = false;
-        std::vector<Line*> idle;  // the newest last
-        std::size_t lines = 0;
+        std::vector<Connection*> idle;  // the newest last
+        std::size_t connections = 0;
         Instant heard;             // when anything last came from it
         Instant unanswered_since;  // of the earliest message written since then; zero: none
     };
-    Line* line_to(ServerIndex server);
-    Line* take_idle(Door& door);
-    void drop(Line& line, bool reset);
+    Connection* connection_to(ServerIndex server);
+    Connection* take_idle(Upstream& upstream);
+    void drop(Connection& connection, bool reset);
     bool make_room();
-    void ended(Line& line, const Outcome& outcome);
+    void ended(Connection& connection, const Outcome& outcome);
     // How an attempt or a release ended without an answer.
     enum class Loss {
         never_sent,   // its last byte was not written
         peer_closed,  // it may have run
         closed_here,  // the same, and its server has yet to learn that the connection is closed
     };
-    void lost(Line& line, Loss loss, const std::string& what);
+    void lost(Connection& connection, Loss loss, const std::string& what);
     void not_awaited(LaunchId launch);
-    void rest(Line& line);
-    void released(Line& line, bool answered);
+    void rest(Connection& connection);
+    void released(Connection& connection, bool answered);
     void look();
 
-    std::size_t server_count() const override { return doors_.size(); }
+    std::size_t server_count() const override { return upstreams_.size(); }
     bool is_reachable(ServerIndex server) const override;
-    Instant last_heard(ServerIndex server) const override { return doors_[server].heard; }
+    Instant last_heard(ServerIndex server) const override { return upstreams_[server].heard; }
     bool may_hang(ServerIndex server) const override;
     ReleaseCallId start_release(ServerIndex server, const std::string& id) override;
     void cancel_release(ReleaseCallId call) override;
@@ -134,11 +134,11 @@
     Loop& loop_;
     Bounds bounds_;
     Owner& owner_;
-    std::vector<Door> doors_;
-    std::unordered_map<Line*, std::unique_ptr<Line>> lines_;
-    std::unordered_map<LaunchId, Line*> out_;
+    std::vector<Upstream> upstreams_;
+    std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
+    std::unordered_map<LaunchId, Connection*> out_;
     std::unordered_set<LaunchId> not_awaited_;  // never sent, and their owner is yet to be told
-    std::unordered_map<ReleaseCallId, Line*> release_calls_;
+    std::unordered_map<ReleaseCallId, Connection*> release_calls_;
     ReleaseCallId next_release_call_ = 1;
     Releases releases_;
     Counts counts_;
--- a/tests/node/fleet_test.cpp
+++ b/tests/node/fleet_test.cpp
@@ -100,7 +100,7 @@
         // Some are answered and told to go, and stay.
         if (n % 3 == 0) crowd.back()->say("nonsense\r\n\r\n");
         w.pass(ms(5));
-        most = std::max(most, w.node->fronts().size() + w.loop.adopted());
+        most = std::max(most, w.node->clients().size() + w.loop.adopted());
     }
     assert(most > 10 && most <= 64 / 2);
     w.platform.watches_are_reset();
@@ -185,7 +185,7 @@
     w.pass(ms(30));
     auto c = w.client();
     c->say(w.call("q"));
-    w.until("it waits", [&] { return w.node->servers().launches() == 1; });
+    w.until("it waits", [&] { return w.node->upstreams().launches() == 1; });
     // Under another address: what waits has never been sent, long before the connection's time is over.
     w.platform.add("r1", Role::reader, "z", 1);
     w.until(
@@ -201,7 +201,7 @@
 // What is left is told when the launch is written, not when its connection was asked for.
 void the_time_left_is_told_as_it_is_when_the_launch_is_written() {
     Loop loop;
-    struct Quiet : Servers::Owner {
+    struct Quiet : UpstreamPool::Owner {
         void launch_over(LaunchId, const Outcome&, const std::string&) override {}
         void events_came(LaunchId, std::string_view, std::size_t) override {}
         SendGuard send_guard{Span{1000000}};
@@ -219,7 +219,7 @@
         }
         void stream_closed(Stream&, Closing, const std::string&) override {}
     } taker;
-    Servers servers(loop, {}, owner);
+    UpstreamPool servers(loop, {}, owner);
     Listener listener(loop, Address::parse("127.0.0.1:0"), [&](int fd) {
         taker.stream = Stream::accepted(loop, fd, {0, 0}, taker);
     });
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -30,7 +30,7 @@
     w.until("the second stream's end", [&] { return c->whole(); });
     assert(w.platform.heard()[2].connection == w.platform.heard()[0].connection);
     assert(w.platform.heard()[3].connection == w.platform.heard()[1].connection);
-    assert(w.node->servers().counts().made == 2 && w.node->servers().counts().reused == 2);
+    assert(w.node->upstreams().counts().made == 2 && w.node->upstreams().counts().reused == 2);
     w.at_rest();
 }
 
@@ -160,7 +160,7 @@
         c->leave();
         w.at_rest();
         assert(w.node->desk().tally().left == 1);
-        assert(w.node->fronts().size() == 0);
+        assert(w.node->clients().size() == 0);
     }
 }
 
@@ -241,7 +241,7 @@
     for (int n = 0; n < 300; ++n) idle.push_back(w.client());
     auto c = w.ask();
     assert(c->whole());
-    assert(w.node->fronts().size() < 80);
+    assert(w.node->clients().size() < 80);
 }
 
 void more_calls_than_there_are_connections_for_are_told_to_come_back() {
@@ -303,14 +303,14 @@
             if (!c->whole()) return false;
         return true;
     });
-    const auto before = w.node->servers().counts();
+    const auto before = w.node->upstreams().counts();
     assert(before.made >= 9);  // five to the reader; a writer's may be free again
     // As many as are kept would be reset, had they stayed.
     const std::size_t heard = w.platform.heard().size();
     w.platform.next("r1", Fault::resets, 1);
     auto c = w.ask();
     assert(c->whole());
-    assert(w.node->servers().counts().broken == before.broken + 1);
+    assert(w.node->upstreams().counts().broken == before.broken + 1);
     std::uint64_t newest = 0;
     for (std::size_t n = 0; n < heard; ++n) newest = std::max(newest, w.platform.heard()[n].connection);
     std::vector<std::uint64_t> reads;
@@ -342,7 +342,7 @@
     auto c = w.ask();
     assert(c->whole());
     w.at_rest();
-    assert(w.node->servers().release_counts().ordered > 0);
+    assert(w.node->upstreams().release_counts().ordered > 0);
     const std::size_t told = w.platform.count("DELETE");
     assert(told > 0);
     // At a reader that is gone, the next one is told.
@@ -484,11 +484,11 @@
     slow->stream->pause_reading(true);
     // Its server is not read from any more once the bound is reached, so what waits for it stays small: the
     // bound, and what one turn brings.
-    const std::size_t bound = Fronts::Bounds{}.unsent_bytes;
-    w.until("something waits", [&] { return w.node->fronts().unsent() > bound; });
+    const std::size_t bound = ClientConnections::Bounds{}.unsent_bytes;
+    w.until("something waits", [&] { return w.node->clients().unsent() > bound; });
     for (int n = 0; n < 15; ++n) {
         w.pass(ms(100));
-        assert(w.node->fronts().unsent() < 3 * bound);
+        assert(w.node->clients().unsent() < 3 * bound);
     }
     assert(w.node->desk().open_queries() == 1);
     slow->leave();
@@ -504,7 +504,7 @@
     assert(t.reads == 20 && t.writes == 20 && t.settled == 20 && t.releases == 0);
     assert(t.endings[static_cast<std::size_t>(Ending::read)] == 20);
     assert(t.endings[static_cast<std::size_t>(Ending::settled)] == 20);
-    assert(w.node->servers().launches() == 0 && w.platform.connections() == 2);
+    assert(w.node->upstreams().launches() == 0 && w.platform.connections() == 2);
     assert(w.platform.count("DELETE") == 0 && w.platform.states() == 0);
 }
 
--- a/tests/node/release_test.cpp
+++ b/tests/node/release_test.cpp
@@ -41,7 +41,7 @@
     });
     EXPECT_LT(w.loop.now() - over, ms(600));
     EXPECT_GE(w.decode.count("DELETE"), 1u);
-    w.until("nothing is owed", [&] { return w.node->servers().owed() == 0; });
+    w.until("nothing is owed", [&] { return w.node->upstreams().owed() == 0; });
 }
 
 // What a gateway is allowed beyond the settings, with what a busy machine takes.
--- a/tests/node/shutdown_test.cpp
+++ b/tests/node/shutdown_test.cpp
@@ -36,7 +36,7 @@
 TEST(Shutdown, FirstRequestThatLiesUnreadIsServed) {
     ScriptedWorld w;
     RawClient client(w.node->address());
-    w.until("the connection is taken", [&] { return w.node->fronts().size() == 1; });
+    w.until("the connection is taken", [&] { return w.node->clients().size() == 1; });
     client.say(w.call(w.fresh()));
     w.node->stop();
     w.prefill.send(w.wait_for_post(w.prefill, 1), prefill_response());
@@ -49,7 +49,7 @@
     for (const std::int64_t after : {690, 699, 700, 701, 710, 725}) {
         ScriptedWorld w;
         RawClient client(w.node->address());
-        w.until("the connection is taken", [&] { return w.node->fronts().size() == 1; });
+        w.until("the connection is taken", [&] { return w.node->clients().size() == 1; });
         w.node->stop();
         w.pass(ms(after));
         bool ended = false;
@@ -122,7 +122,7 @@
         w.platform.set("r1", "up");
     }
     if (stage == Stage::dialling) {
-        w.until("it waits for its connection", [&] { return w.node->servers().launches() == 1; });
+        w.until("it waits for its connection", [&] { return w.node->upstreams().launches() == 1; });
         // The server comes back under another address: what waits was never sent and goes there.
         w.platform.point("r1", w.prefill.address());
     }
@@ -212,7 +212,7 @@
         bad.push_back(std::make_unique<RawClient>(w.node->address()));
         bad.back()->say("nonsense\r\n\r\n");
     }
-    w.until("they linger", [&] { return w.node->fronts().size() + w.loop.adopted() >= 10; });
+    w.until("they linger", [&] { return w.node->clients().size() + w.loop.adopted() >= 10; });
     w.prefill.send(reading, prefill_response());
     const auto writing = w.wait_for_post(w.decode, 1);
     w.decode.send(writing, whole_stream("whole"));
@@ -249,7 +249,7 @@
     for (int n = 0; n < 12; ++n) {
         bad.push_back(std::make_unique<RawClient>(w.node->address()));
     }
-    w.until("they are taken", [&] { return w.node->fronts().size() >= 12; });
+    w.until("they are taken", [&] { return w.node->clients().size() >= 12; });
     for (const auto& client : bad) client->say("nonsense\r\n\r\n");
     w.pass(ms(300));
     for (const auto& client : bad) answered += client->heard().find("HTTP/1.1 400") == 0;
--- a/tests/node/world.h
+++ b/tests/node/world.h
@@ -139,7 +139,8 @@
     void at_rest() {
         until("nothing open, out, owed or held", [&] {
             return node->desk().open_queries() == 0 && node->desk().launches_out() == 0 &&
-                   node->servers().owed() == 0 && node->servers().launches() == 0 && platform.states() == 0;
+                   node->upstreams().owed() == 0 && node->upstreams().launches() == 0 &&
+                   platform.states() == 0;
         });
     }
 };
