--- /dev/null
+++ b/src/desk/desk_attempts.cpp
@@ -0,0 +1,311 @@
+// Attempts of a request from their start to their end, and what is held for it meanwhile.
+#include <algorithm>
+
+#include "desk/desk.h"
+#include "desk/desk_turn.h"
+
+namespace copperfront {
+
+void Desk::chose(QueryIndex, ServerIndex, bool, const char* why, std::span<const Sight> seen,
+                 std::size_t of) {
+    // The launch follows within the same call, so this is what it is told with.
+    seen_.assign(seen.begin(), seen.end());
+    choice_ = {why, seen_, of};
+}
+
+void Desk::held(QueryIndex query, const char* why) {
+    Ticket& ticket = tickets_[query];
+    // The rules say it each time that they look; a reason is news once.
+    if (!witness_ || ticket.why == why || ticket.ended || ticket.done) return;
+    ticket.why = why;
+    witness_->held(face(query), why);
+}
+
+void Desk::launch(QueryIndex query, ServerIndex server, const AttemptLimits& limits) {
+    const Span limit = limits.answer;
+    Ticket& ticket = tickets_[query];
+    const LaunchId id = next_launch_++;
+    Launch made;
+    made.query = query;
+    made.server = server;
+    made.sent = outside_.now();
+    made.write_by = made.sent + limits.write;
+    made.reading = server < role_.size() && role_[server] == Role::reader;
+    ++ticket.made;
+    ticket.launches.push_back(id);
+    const QueryIndex asked = face(query);
+    SendGuard::AttemptStart facts;
+    facts.answered = ticket.ended || ticket.done || tickets_[asked].ended || tickets_[asked].bound != 0;
+    facts.attempt_out = ticket.out > 0;
+    facts.may_have_run = ticket.may_have_run;
+    facts.effect = ticket.effect;
+    facts.made = ticket.made;
+    facts.most = max_launches_;
+    facts.left = limit;
+    const Denial denial = guard_.may_start(facts);
+    ++ticket.out;
+    if (denial == Denial::none) {
+        if (!made.reading) {
+            made.state = ticket.state;
+            made.tokens = ticket.prompt_tokens;
+            if (server < own_tokens_.size()) own_tokens_[server] += made.tokens;
+        }
+        if (ticket.held) admission_.held(ticket.route, -1);
+        ticket.held = false;
+        // The first launch of each stage; what follows was asked for in may_launch_again.
+        bool& begun = made.reading ? ticket.read_begun : ticket.write_begun;
+        if (!begun) admission_.launched_first(ticket.route, outside_.now());
+        begun = true;
+        launches_.emplace(id, made);
+        if (watching_ && !ticket.copy) watching_->launched(query, server, made.reading);
+        set_alarm(limit, Ring::limit, id);
+        if (witness_) {
+            Account& account = tickets_[asked].account;
+            if (account.reads + account.writes == 0) account.first_launch = outside_.now();
+            ++(made.reading ? account.reads : account.writes);
+            (made.reading ? account.reader : account.writer) = server;
+            if (made.reading || made.state == 0) account.read_tokens += ticket.prompt_tokens;
+            witness_->launched(asked, id, server, made.reading, limit, choice_);
+        }
+        const Span connect = ticket.connect.us > 0 ? std::min(ticket.connect, limits.write) : limits.write;
+        if (connect < limit) set_alarm(connect, Ring::connect, id);
+        if (made.reading) {
+            ++tally_.reads;
+            outside_.send_read(id, server, asked, limit);
+        } else {
+            ++tally_.writes;
+            outside_.send_write(id, server, asked, made.state, ticket.state_at, limit);
+        }
+        return;
+    }
+    Outcome outcome;
+    outcome.ending = denial == Denial::no_time_left ? Ending::late : Ending::unsent;
+    made.unsent = true;
+    launches_.emplace(id, made);
+    posted_.emplace_back(id, outcome);
+}
+
+Denial Desk::may_be_written(LaunchId launch, bool client_gone, Span told) {
+    const auto it = launches_.find(launch);
+    if (it != launches_.end() && !client_gone) {
+        const Ticket& ticket = tickets_[it->second.query];
+        guard_.check_deadline(told, ticket.deadline - outside_.now());
+        guard_.check_effect(ticket.effect, ticket.may_have_run);
+    }
+    SendGuard::AttemptWrite facts;
+    facts.client_gone = client_gone;
+    facts.now = outside_.now();
+    facts.write_by = it != launches_.end() ? it->second.write_by : Instant{};
+    return guard_.may_write(facts);
+}
+
+// It is over, with this outcome, only once its close has reached its server: an attempt elsewhere before that
+// would be a second copy of it.
+void Desk::call_off(LaunchId launch, const Outcome& outcome, const char* why) {
+    Launch& mine = launches_.at(launch);
+    outside_.call_off(launch, mine.server);
+    over_once_closed(mine, launch, outcome, why);
+}
+
+void Desk::over_once_closed(Launch& mine, LaunchId launch, const Outcome& outcome, const char* why) {
+    mine.called_off = true;
+    const Ticket& ticket = tickets_[mine.query];
+    // No other attempt of it follows.
+    if (ticket.ended || ticket.done) {
+        posted_.emplace_back(launch, outcome);
+        return;
+    }
+    mine.pending = outcome;
+    mine.why = why;
+    set_alarm(SendGuard::close_travel_time(), Ring::called_off, launch);
+}
+
+void Desk::retract(QueryIndex query, std::uint32_t number) {
+    Ticket& ticket = tickets_[query];
+    if (number >= ticket.launches.size()) return;
+    const auto it = launches_.find(ticket.launches[number]);
+    if (it == launches_.end() || it->second.begun || it->second.called_off || it->second.unsent) return;
+    ++tally_.called_off;
+    Outcome outcome;
+    outcome.ending = Ending::retracted;
+    if (!outside_.unsend(it->first, it->second.server))
+        return call_off(it->first, outcome, "it is no longer wanted");
+    // What was never sent has left nothing behind, and tells nothing of its server where its query is over.
+    it->second.called_off = true;
+    outcome.ending = ticket.ended || ticket.done ? Ending::unsent : Ending::unreachable;
+    posted_.emplace_back(it->first, outcome);
+}
+
+// A state that no launch waits for is let go wherever it may lie. A read whose answer never came may have
+// left one too, so its reader is told as well.
+void Desk::release(QueryIndex query) {
+    Ticket& ticket = tickets_[query];
+    LaunchId awaited = 0;
+    for (const LaunchId id : ticket.launches) {
+        const auto it = launches_.find(id);
+        if (it != launches_.end() && !it->second.called_off && it->second.state != 0)
+            awaited = it->second.state;
+    }
+    drop_states(query, awaited);
+    if (awaited == 0) ticket.state = 0;
+}
+
+void Desk::drop_states(QueryIndex query, LaunchId except) {
+    Ticket& ticket = tickets_[query];
+    std::erase_if(ticket.may_lie, [&](const State& state) {
+        if (state.launch == except) return false;
+        ++tally_.releases;
+        if (witness_) witness_->released(face(query), state.at, state.launch);
+        outside_.release(state.at, state.launch, state.held_since);
+        return true;
+    });
+}
+
+void Desk::hold_state(Ticket& ticket, QueryIndex query, ServerIndex server, LaunchId launch) {
+    ticket.may_lie.push_back({server, launch, outside_.now()});
+    if (!guard_.has_state_lease() || !outside_.may_lie_unread()) return;
+    const Span left = guard_.state_lease_end(outside_.now()) - outside_.now();
+    set_alarm(left, Ring::lease, query);
+}
+
+// The rule counts from a request's last outcome, and an answer proves that its attempt had arrived. A
+// time-out, a call-off or a connection that never came up proves nothing.
+void Desk::renew_leases(QueryIndex query) {
+    for (State& state : tickets_[query].may_lie) state.held_since = outside_.now();
+}
+
+// What is held for a request may not outlive its lease behind a call that nothing was heard of: it is
+// released. The call itself stays out. Had it arrived and taken the state, the release changes nothing for
+// it; if it still waits for the state, or arrives later, its server says that the state has gone, which
+// proves that it never ran.
+void Desk::lease_ends(QueryIndex query) {
+    Ticket& ticket = tickets_[query];
+    if (!ticket.used || ticket.may_lie.empty()) return;
+    Instant first = ticket.may_lie.front().held_since;
+    for (const State& state : ticket.may_lie) first = std::min(first, state.held_since);
+    const Span left = guard_.state_lease_end(first) - outside_.now();
+    if (left.us > 0) return set_alarm(left, Ring::lease, query);
+    ++tally_.leases_ended;
+    drop_states(query, 0);
+    ticket.state = 0;
+    if (!ticket.ended && !ticket.done) rules_.state_expired(query);
+}
+
+bool Desk::may_launch_again(QueryIndex query, Ending after) {
+    Ticket& ticket = tickets_[query];
+    const Cause cause = after == Ending::unreachable                          ? Cause::unreachable
+                        : after == Ending::full                               ? Cause::full
+                        : after == Ending::late || after == Ending::retracted ? Cause::silent
+                                                                              : Cause::failed;
+    const auto c = static_cast<std::size_t>(cause);
+    if (ticket.after[c] < ticket.most_after[c] && admission_.may_launch_again(ticket.route, outside_.now())) {
+        ++ticket.after[c];
+        return true;
+    }
+    ++tally_.not_again;
+    return false;
+}
+
+bool Desk::token_came(LaunchId launch, QueryIndex& query) {
+    const auto it = launches_.find(launch);
+    if (it == launches_.end() || it->second.called_off || it->second.reading) return false;
+    Launch& l = it->second;
+    Ticket& ticket = tickets_[l.query];
+    query = face(l.query);
+    if (l.server < own_tokens_.size()) {
+        l.tokens += 1;
+        own_tokens_[l.server] += 1;
+    }
+    if (l.begun) {
+        l.heard = outside_.now();
+        admission_.tokens_came(ticket.route, 1, l.heard);
+        if (witness_) tickets_[query].account.tokens += 1;
+        return tickets_[query].bound == launch && !tickets_[query].ended;
+    }
+    if (ticket.done || tickets_[query].ended || tickets_[query].bound != 0 || !ticket.streams) return false;
+    const Turn turn(*this);
+    l.begun = true;
+    l.heard = outside_.now();
+    if (witness_) {
+        tickets_[query].account.first_token = outside_.now() - tickets_[query].came;
+        tickets_[query].account.tokens += 1;
+        witness_->first_token(query, launch, l.server, outside_.now() - l.sent);
+    }
+    tickets_[query].bound = launch;
+    set_alarm(ticket.silence, Ring::stream, launch);
+    // With the first token the state has been fetched; whatever else lies about for this query goes now.
+    std::erase_if(ticket.may_lie, [&](const State& state) { return state.launch == l.state; });
+    drop_states(l.query, 0);
+    ticket.state = 0;
+    admission_.began(ticket.route, outside_.now() - ticket.came, outside_.now());
+    admission_.tokens_came(ticket.route, 1, outside_.now());
+    const QueryIndex winner = l.query;
+    if (watching_ && !ticket.copy) watching_->stream_began(winner, outside_.now() - l.sent);
+    rules_.stream_began(winner, outside_.now() - l.sent);
+    call_off_pair(winner);
+    return true;
+}
+
+void Desk::launch_ended(LaunchId launch, Outcome outcome) {
+    const auto it = launches_.find(launch);
+    if (it == launches_.end() || it->second.called_off) return;
+    const Turn turn(*this);
+    Launch& mine = it->second;
+    if (outcome.closed_here && !mine.begun)
+        return over_once_closed(mine, launch, outcome, "its answer was spoilt");
+    finish(launch, outcome);
+}
+
+void Desk::finish(LaunchId id, Outcome outcome, std::string_view why) {
+    const auto it = launches_.find(id);
+    if (it == launches_.end()) return;
+    const Launch l = it->second;
+    launches_.erase(it);
+    if (l.server < own_tokens_.size())
+        own_tokens_[l.server] = std::max(0.0, own_tokens_[l.server] - l.tokens);
+    note_report(l.server, outcome.report);
+    Ticket& ticket = tickets_[l.query];
+    --ticket.out;
+    ++tally_.endings[static_cast<std::size_t>(outcome.ending)];
+    outcome.took = outside_.now() - l.sent;
+    const QueryIndex asked = face(l.query);
+    if (witness_) witness_->launch_over(asked, id, l.server, outcome.ending, outcome.took, why);
+    outcome.over = ticket.ended || ticket.done;
+    const Ending e = outcome.ending;
+    const bool never_there = e == Ending::unsent || e == Ending::unreachable || e == Ending::full;
+    if (e == Ending::read || e == Ending::full || e == Ending::error) renew_leases(l.query);
+    if (l.reading && !never_there) hold_state(ticket, l.query, l.server, id);
+    if (!l.reading && !never_there) ticket.may_have_run = true;
+    if (l.reading && e == Ending::read) {
+        ticket.state = id;
+        ticket.state_at = l.server;
+    }
+    if (e == Ending::settled) {
+        std::erase_if(ticket.may_lie, [&](const State& state) { return state.launch == l.state; });
+        if (l.state == ticket.state) ticket.state = 0;
+    }
+    const LaunchId bound = tickets_[asked].bound;
+    if (!tickets_[asked].ended && !ticket.done) {
+        if (e == Ending::settled && (bound == 0 || bound == id)) {
+            set_down(l.query);
+            end(asked, Fate::settled, "");
+            ++tally_.settled;
+            outcome.over = true;
+            outside_.settled(asked);
+        } else if (bound == id) {
+            // A begun stream that breaks is lost: the caller has part of an answer, and is told so at once.
+            set_down(l.query);
+            end(asked, Fate::given_up, "the stream broke");
+            ++tally_.given_up;
+            ++tally_.streams_broken;
+            outcome.over = true;
+            outside_.given_up(asked, "the stream broke");
+        }
+    }
+    if (watching_ && !ticket.copy) watching_->launch_ended(l.query, l.server, outcome);
+    rules_.launch_ended(l.query, l.server, outcome);
+    // Settled without a first token to tell of it: the other one is of no more use.
+    if (e == Ending::settled && outcome.over) call_off_pair(l.query);
+}
+
+}  // namespace copperfront
