The soak steps wall clocks; tests of a client's close before a loop that is held up

Under the shim each gateway process has a wall clock that is right, or wrong by 5 s or an hour. Six cases of clients that close, reset or end their sending behind a second request while the loop stands still for 0.15 s, with a hand-over or a retry due: nothing is written for them.

--- a/src/soak/fleet.cpp
+++ b/src/soak/fleet.cpp
@@ -40,6 +40,14 @@
            std::to_string(1 + gateway);
 }
 
+// By how many microseconds the wall clock of a gateway's process is wrong: not at all, by seconds, or by an
+// hour.
+std::int64_t wall_clock_error(std::size_t draw) {
+    constexpr std::int64_t kSecond = 1000000, kHour = 3600 * kSecond;
+    constexpr std::int64_t kErrors[] = {0, 5 * kSecond, -5 * kSecond, kHour, -kHour};
+    return kErrors[draw % std::size(kErrors)];
+}
+
 // The count that a gateway writes when it stops; -1: it has not.
 std::int64_t violations_in(const std::string& log_file) {
     std::ifstream file(log_file);
@@ -182,7 +190,8 @@
     if (!options_.shim.empty()) {
         start.environment = {"LD_PRELOAD=" + options_.shim,
                              "FAULT_SHIM_SEED=" + std::to_string(options_.seed * 100 + mine.life),
-                             "FAULT_SHIM_LOG=" + run + ".shim"};
+                             "FAULT_SHIM_LOG=" + run + ".shim",
+                             "FAULT_SHIM_CLOCK=" + std::to_string(wall_clock_error(gateway + mine.life))};
     }
     start.ended = [this, gateway](int status) { gateway_ended(gateway, status); };
     processes_.start(std::move(start));
--- a/tests/node/departed_client_test.cpp
+++ b/tests/node/departed_client_test.cpp
@@ -88,6 +88,29 @@
     EXPECT_EQ(w.decode.count("POST"), 0u);
 }
 
+// The loop is held up while the client closes behind further bytes, and then comes to the answers of servers
+// first or last: nothing is written for it, neither a hand-over nor a retry.
+TEST_P(DepartedClient, EndBehindBytesIsSeenThoughTheLoopWasHeldUp) {
+    for (const bool retry : {false, true}) {
+        ScriptedWorld w;
+        RawClient client(w.node->address());
+        client.say(w.call(w.fresh()));
+        const auto reading = w.wait_for_post(w.prefill, 1);
+        client.say(w.call(w.fresh()));
+        go(client);
+        if (retry) {
+            w.prefill.reset(reading);
+        } else {
+            w.prefill.send(reading, prefill_response());
+        }
+        for (const Instant from = w.loop.now(); w.loop.now() - from < ms(150);) continue;
+        w.until("it is over", [&] { return w.node->desk().open_queries() == 0; });
+        w.pass(ms(100));
+        EXPECT_EQ(w.decode.count("POST"), 0u);
+        EXPECT_EQ(w.prefill.count("POST"), 1u);
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Each, DepartedClient, testing::Values(End::closes, End::resets, End::ends_sending));
 
 }  // namespace
