--- a/src/node/late_reads.cpp
+++ b/src/node/late_reads.cpp
@@ -1,12 +1,14 @@
 #include "node/late_reads.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace copperfront {
 namespace {
 
 constexpr std::size_t kMostReads = 256;
 constexpr Span kFollowedAtMost{10000000};
+constexpr Span kAnswerWithin{600000};   // else it is asked on another connection: this one may be silent
 constexpr Span kAskAgainAfter{500000};  // where the connection failed, or the request is being tried anew
 // Once its server answers, the prefill may take a while: a release after the first time, and then in steps
 // that are shorter than a state may be held.
@@ -36,13 +38,18 @@
 
 void LateReads::look() {
     for (Read& read : reads_) {
+        if (read.call != 0 && loop_.now() - read.asked_at >= kAnswerWithin) {
+            pool_.cancel_release(std::exchange(read.call, 0));
+        }
         if (is_over(read) || read.call != 0 || loop_.now() < read.next_at) continue;
         // What is sent now could take the state that another attempt leaves.
         if (pool_.use_of(read.id).attempt_in_flight) {
             read.next_at = loop_.now() + kAskAgainAfter;
             continue;
         }
-        if (!server_is_being_asked(read.server)) read.call = pool_.start_release(read.server, read.id);
+        if (server_is_being_asked(read.server)) continue;
+        read.call = pool_.start_release(read.server, read.id);
+        read.asked_at = loop_.now();
     }
     std::erase_if(reads_, [this](const Read& read) {
         const bool over = is_over(read);
--- a/src/node/late_reads.h
+++ b/src/node/late_reads.h
@@ -29,7 +29,7 @@
     struct Read {
         ServerIndex server = 0;
         std::string id;
-        Instant until, next_at;
+        Instant until, next_at, asked_at;
         ReleaseCallId call = 0;
         std::uint32_t answered = 0;
     };
