--- a/src/soak/fleet.cpp
+++ b/src/soak/fleet.cpp
@@ -42,10 +42,11 @@
 
 // By how many microseconds the wall clock of a gateway's process is wrong: not at all, by seconds, or by an
 // hour.
+constexpr std::int64_t kSecond = 1000000, kHour = 3600 * kSecond;
+constexpr std::int64_t kWallClockErrors[] = {0, 5 * kSecond, -5 * kSecond, kHour, -kHour};
+
 std::int64_t wall_clock_error(std::size_t draw) {
-    constexpr std::int64_t kSecond = 1000000, kHour = 3600 * kSecond;
-    constexpr std::int64_t kErrors[] = {0, 5 * kSecond, -5 * kSecond, kHour, -kHour};
-    return kErrors[draw % std::size(kErrors)];
+    return kWallClockErrors[draw % std::size(kWallClockErrors)];
 }
 
 // The count that a gateway writes when it stops; -1: it has not.
