A late read is released through other servers while its own is out of reach

Now other servers are told each 0.9 s until its own answers, and for up to 3 s after SIGTERM the process stays for it.

--- a/src/node/late_reads.cpp
+++ b/src/node/late_reads.cpp
@@ -9,7 +9,7 @@
 constexpr std::size_t kMostReads = 256;
 constexpr Span kFollowedAtMost{10000000};
 constexpr Span kAnswerWithin{600000};   // else it is asked on another connection: this one may be silent
-constexpr Span kAskAgainAfter{500000};  // where the connection failed, or the request is being tried anew
+constexpr Span kAskAgainAfter{500000};  // where the connection failed
 // Once its server answers, the prefill may take a while: a release after the first time, and then in steps
 // that are shorter than a state may be held.
 constexpr Span kFirstReleaseAfter{250000}, kNextReleaseAfter{900000};
@@ -24,6 +24,7 @@
     read.id = id;
     read.until = loop_.now() + kFollowedAtMost;
     read.next_at = loop_.now();
+    read.other_at = loop_.now() + kNextReleaseAfter;
     reads_.push_back(std::move(read));
 }
 
@@ -36,32 +37,64 @@
     return read.answered >= kMostAnswers || loop_.now() > read.until || !pool_.is_reachable(read.server);
 }
 
+void LateReads::cancel(ReleaseCallId& call) {
+    if (call != 0) pool_.cancel_release(std::exchange(call, 0));
+}
+
+void LateReads::ask_its_server(Read& read) {
+    const Instant now = loop_.now();
+    if (read.call != 0 && now - read.asked_at >= kAnswerWithin) cancel(read.call);
+    if (read.call != 0 || now < read.next_at || server_is_being_asked(read.server)) return;
+    read.call = pool_.start_release(read.server, read.id);
+    read.asked_at = now;
+}
+
+bool LateReads::find_another(ServerIndex than, ServerIndex& found) const {
+    bool any = false;
+    for (ServerIndex other = 0; other < pool_.server_count(); ++other) {
+        if (other == than || !pool_.is_reachable(other) || pool_.may_hang(other)) continue;
+        if (any && pool_.last_heard(other) <= pool_.last_heard(found)) continue;
+        found = other;
+        any = true;
+    }
+    return any;
+}
+
+void LateReads::tell_another(Read& read) {
+    if (read.answered > 0 || loop_.now() < read.other_at) return;
+    cancel(read.other_call);
+    ServerIndex other = 0;
+    if (find_another(read.server, other)) read.other_call = pool_.start_release(other, read.id);
+    read.other_at = loop_.now() + kNextReleaseAfter;
+}
+
 void LateReads::look() {
     for (Read& read : reads_) {
-        if (read.call != 0 && loop_.now() - read.asked_at >= kAnswerWithin) {
-            pool_.cancel_release(std::exchange(read.call, 0));
-        }
-        if (is_over(read) || read.call != 0 || loop_.now() < read.next_at) continue;
+        if (is_over(read)) continue;
         // What is sent now could take the state that another attempt leaves.
-        if (pool_.use_of(read.id).attempt_in_flight) {
-            read.next_at = loop_.now() + kAskAgainAfter;
-            continue;
-        }
-        if (server_is_being_asked(read.server)) continue;
-        read.call = pool_.start_release(read.server, read.id);
-        read.asked_at = loop_.now();
+        if (pool_.use_of(read.id).attempt_in_flight) continue;
+        ask_its_server(read);
+        tell_another(read);
     }
-    std::erase_if(reads_, [this](const Read& read) {
+    std::erase_if(reads_, [this](Read& read) {
         const bool over = is_over(read);
-        if (over && read.call != 0) pool_.cancel_release(read.call);
+        if (over) {
+            cancel(read.call);
+            cancel(read.other_call);
+        }
         return over;
     });
 }
 
 bool LateReads::call_ended(ReleaseCallId call, bool answered) {
-    const auto mine =
-        std::find_if(reads_.begin(), reads_.end(), [call](const Read& read) { return read.call == call; });
+    const auto mine = std::find_if(reads_.begin(), reads_.end(), [call](const Read& read) {
+        return read.call == call || read.other_call == call;
+    });
     if (mine == reads_.end()) return false;
+    if (mine->other_call == call) {
+        mine->other_call = 0;
+        return true;
+    }
     mine->call = 0;
     if (!answered) {
         mine->next_at = loop_.now() + kAskAgainAfter;
--- a/src/node/late_reads.h
+++ b/src/node/late_reads.h
@@ -30,9 +30,15 @@
         ServerIndex server = 0;
         std::string id;
         Instant until, next_at, asked_at;
-        ReleaseCallId call = 0;
+        ReleaseCallId call = 0;        // to its own server
+        ReleaseCallId other_call = 0;  // to another one
+        Instant other_at;
         std::uint32_t answered = 0;
     };
+    void ask_its_server(Read& read);
+    void tell_another(Read& read);
+    bool find_another(ServerIndex than, ServerIndex& found) const;
+    void cancel(ReleaseCallId& call);
     bool is_over(const Read& read) const;
     bool server_is_being_asked(ServerIndex server) const;
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -21,6 +21,8 @@
 // The platform takes a client that is left waiting for 5 s after a server's last event as lost.
 constexpr Span kLongestGap{4600000};
 constexpr Span kClientsEndWithin{2800000};  // after SIGTERM, with nothing else left
+// What a server that hangs may still leave is waited for so long after SIGTERM.
+constexpr Span kStayForLateReads{3000000};
 constexpr Span kLookForEnd{20000}, kLastWords{100000};
 
 struct Sizes {
@@ -448,6 +450,7 @@
     facts.requests = desk_->open_queries();
     facts.attempts = desk_->launches_out();
     facts.releases = upstreams_->owed();
+    if (facts.since_asked < kStayForLateReads) facts.releases += upstreams_->late_reads();
     facts.unsent_answers = loop_.adopted();
     return facts;
 }
