--- a/src/soak/model_server.cpp
+++ b/src/soak/model_server.cpp
@@ -12,15 +12,17 @@
 #include "http/message.h"
 #include "net/stream.h"
 #include "soak/records.h"
+#include "standin/response_text.h"
 
 namespace copperfront::soak {
 namespace {
 
+using standin::chunk;
+using standin::response;
+
 constexpr std::size_t kHeldBytes = 1 << 20;
 constexpr const char* kRooms = "/bootstrap/rooms/";
 constexpr const char* kNeverRan = "X-Unprocessed: 1\r\n";
-constexpr const char* kStreamHead =
-    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 // What happens to a call in place of its usual course.
 enum class CallFault {
@@ -40,17 +42,6 @@
 constexpr int kCallBits = 24;
 constexpr int kCallFaults = static_cast<int>(CallFault::stalls) + 1;
 
-std::string chunk(const std::string& text) {
-    char size[24];
-    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-    return size + text + "\r\n";
-}
-
-std::string response(int status, const std::string& fields, const std::string& body) {
-    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + fields +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 // Identifiers become names of files.
 std::string safe_name(const std::string& id) {
     std::string name;
@@ -216,7 +207,7 @@
             stream_->send("%\x01 what is this\r\n\r\n");
             return;
         }
-        if (events_sent_ == 0) stream_->send(kStreamHead);
+        if (events_sent_ == 0) stream_->send(standin::kEventStreamHead);
         if (events_sent_ == 1 && (fault_ == CallFault::breaks_off || fault_ == CallFault::answer_cut)) {
             return break_off(fault_ == CallFault::breaks_off);
         }
--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -3,6 +3,8 @@
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 
+#include "standin/response_text.h"
+
 namespace copperfront::standin {
 namespace {
 
@@ -11,19 +13,6 @@
 constexpr std::size_t kHeldBytes = 1 << 20;
 constexpr std::size_t kMostHeard = 100000;
 const std::string kRooms = "/bootstrap/rooms/";
-const char* const kStream =
-    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-std::string chunk(const std::string& text) {
-    char size[24];
-    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-    return size + text + "\r\n";
-}
-
-std::string whole(int status, const std::string& more, const std::string& body) {
-    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + more +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
 
 std::string event(int n, bool last) {
     return "data: " +
@@ -84,18 +73,18 @@
             all_.states_.erase(id_);
             return stream_->send("HTTP/1.1 204 No Content\r\n\r\n");
         }
-        if (id_.empty()) return stream_->send(whole(404, "", ""));
+        if (id_.empty()) return stream_->send(response(404, "", ""));
         fault_ = all_.fault_for(server_);
         const std::string never = "X-Unprocessed: 1\r\n";
         switch (fault_) {
             case Fault::turned_away:
-                return stream_->send(whole(503, never, ""));
+                return stream_->send(response(503, never, ""));
             case Fault::turned_away_ran:
-                return stream_->send(whole(503, "", ""));
+                return stream_->send(response(503, "", ""));
             case Fault::error:
-                return stream_->send(whole(500, "", ""));
+                return stream_->send(response(500, "", ""));
             case Fault::no_state:
-                return stream_->send(whole(410, never, ""));
+                return stream_->send(response(410, never, ""));
             case Fault::silent:
                 busy_ = true;
                 return;
@@ -114,7 +103,7 @@
                 break;
             case Fault::no_event:
                 busy_ = true;
-                return stream_->send(kStream + chunk("what is this\n\n"));
+                return stream_->send(kEventStreamHead + chunk("what is this\n\n"));
             default:
                 break;
         }
@@ -122,7 +111,7 @@
         sent_ = 0;
         if (role_ == Role::writer && all_.states_.erase(id_) == 0) {
             busy_ = false;
-            return stream_->send(whole(410, never, ""));
+            return stream_->send(response(410, never, ""));
         }
         step_.set(role_ == Role::reader ? all_.shape_.read : all_.shape_.first);
     }
@@ -130,9 +119,9 @@
     void go_on() {
         if (role_ == Role::reader) {
             all_.states_.insert(id_);
-            return finish(whole(202, "Content-Type: application/json\r\n", R"({"cached_tokens":8})"));
+            return finish(response(202, "Content-Type: application/json\r\n", R"({"cached_tokens":8})"));
         }
-        if (sent_ == 0) stream_->send(kStream);
+        if (sent_ == 0) stream_->send(kEventStreamHead);
         ++sent_;
         if (sent_ == 2) {
             const std::string spoilt = fault_ == Fault::size_unreadable ? "zz\r\nwhat is this\r\n"
@@ -156,7 +145,7 @@
             "data: " + Json{{"choices", Json::array()}, {"usage", {{"completion_tokens", sent_}}}}.dump() +
             "\n\n";
         std::string end = chunk(event(sent_, true)) + chunk(usage) + chunk("data: [DONE]\n\n") + "0\r\n\r\n";
-        if (fault_ == Fault::second_answer) end += whole(200, "", "another");
+        if (fault_ == Fault::second_answer) end += response(200, "", "another");
         finish(end);
     }
 
@@ -234,7 +223,7 @@
             body = "{\"index\":" + std::to_string(all_.index_) + ",\"snapshot\":false,\"endpoints\":[" +
                    all_.entries(names) + "]}";
         }
-        stream_->send(whole(200, "Content-Type: application/json\r\n", body));
+        stream_->send(response(200, "Content-Type: application/json\r\n", body));
     }
 
   private:
