--- a/src/cli/soak_command.cpp
+++ b/src/cli/soak_command.cpp
@@ -123,6 +123,8 @@
     sub->add_option("--clients", options->clients)->check(CLI::Range(1, 1000))->capture_default_str();
     sub->add_option("--shim", options->shim,
                     "library to preload into gateways, which makes system calls fail");
+    sub->add_option("--gateway-program", options->gateway_program,
+                    "another build of this program to run gateways from, to see what it does");
     sub->add_option("--log-level", options->log_level, "of gateways")->capture_default_str();
     sub->add_option("--folder", options->folder, "for logs and records; by default a temporary one");
     sub->add_flag("--keep", *keep, "keep the files of runs that passed as well");
--- a/src/soak/fleet.cpp
+++ b/src/soak/fleet.cpp
@@ -185,7 +185,7 @@
     const std::string run = options_.folder + "/" + mine.name + "." + std::to_string(mine.life);
     day::Processes::Start start;
     start.name = mine.name;
-    start.program = options_.program;
+    start.program = options_.gateway_program;
     start.args = {"node", mine.configuration, "--log-level", options_.log_level};
     start.errors = run + ".log";
     if (!options_.shim.empty()) {
--- a/src/soak/fleet.h
+++ b/src/soak/fleet.h
@@ -18,8 +18,9 @@
 namespace copperfront::soak {
 
 struct FleetOptions {
-    std::string program;  // this program, which gateways and servers are started from
-    std::string folder;   // for configurations, logs and records
+    std::string program;          // this program, which servers are started from
+    std::string gateway_program;  // that gateways are started from
+    std::string folder;           // for configurations, logs and records
     std::uint32_t seed = 1;
     std::size_t gateways = 5, prefill_servers = 12, decode_servers = 12;
     double server_fault_share = 0.05;
--- a/src/soak/soak_run.cpp
+++ b/src/soak/soak_run.cpp
@@ -237,6 +237,8 @@
     Records records;
     FleetOptions fleet_options;
     fleet_options.program = options.program;
+    fleet_options.gateway_program =
+        options.gateway_program.empty() ? options.program : options.gateway_program;
     fleet_options.folder = options.folder;
     fleet_options.seed = options.seed;
     fleet_options.gateways = options.gateways;
--- a/src/soak/soak_run.h
+++ b/src/soak/soak_run.h
@@ -11,7 +11,8 @@
 
 struct SoakOptions {
     std::string program;
-    std::string folder;  // for configurations, logs and records; made where it is not there
+    std::string gateway_program;  // empty: the same
+    std::string folder;           // for configurations, logs and records; made where it is not there
     std::uint32_t seed = 1;
     double seconds = 10;  // under faults
     std::size_t gateways = 5, prefill_servers = 12, decode_servers = 12, clients = 40;
