How releases are sent is decided in a policy module; a repeated effect is denied at the write

The choice and timing of releases stood in src/node, beside sockets; they are in src/core/release_policy now, listed under policy, values as before. A write that would repeat an effect was counted but not denied; it is denied. Two facts of the guard that nobody set are gone. A release that is dropped at the bound of 10,000 is counted as lost. New test: a late read is released elsewhere while its server hangs, and again once it answers.

--- /dev/null
+++ b/src/core/release_policy.h
@@ -0,0 +1,43 @@
+// How releases of held state are sent: to which server next, how many at once, and when again. Every server
+// releases what is held for a request anywhere, so what counts is to reach one that runs in time. Free of
+// I/O.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "units.h"
+
+namespace copperfront::release_policy {
+
+// A release that is owed.
+inline constexpr Span kNextRoundAfter{80000};  // unanswered so long, twice as many further servers are told
+inline constexpr Span kAnswerWithin{400000};   // for one call, connecting included
+inline constexpr Span kGiveUpAfter{3000000};
+inline constexpr std::uint32_t kMostTries = 64;
+inline constexpr std::size_t kMostCallsAtOnce = 24;
+// After an attempt that may be followed at once by another one of the same request.
+inline constexpr Span kBeforeFollowing{50000};
+// A read whose end was not heard may end so long after its connection has closed.
+inline constexpr Span kUnsureAgainAfter{250000};
+// With a message unanswered and nothing heard since, a server may hang.
+inline constexpr Span kMayHangAfter{150000};
+
+// A prefill that was taken back at a server which has not been heard from since.
+inline constexpr Span kFollowedAtMost{10000000};
+inline constexpr Span kFollowedAnswerWithin{600000};  // else it is asked on another connection
+inline constexpr Span kAskAgainAfter{500000};         // where the connection failed
+// Once its server answers, the prefill may take a while: a release after the first time, and then in steps
+// that are shorter than a state may be held.
+inline constexpr Span kFirstReleaseAfter{250000}, kNextReleaseAfter{900000};
+inline constexpr std::uint32_t kMostAnswers = 4;
+
+struct Target {
+    bool may_hang = false;
+    Instant last_heard;  // zero: never
+};
+// Whether a release is better sent to `one` than to `other`: one that may hang comes last, and of the rest
+// the one heard from last is the likeliest to run.
+bool is_better(const Target& one, const Target& other);
+
+}  // namespace copperfront::release_policy
--- a/src/core/send_guard.cpp
+++ b/src/core/send_guard.cpp
@@ -87,6 +87,7 @@
 
 Denial SendGuard::may_write(const AttemptWrite& facts) {
     if (facts.client_gone) return count(Denial::client_gone);
+    if (!check_effect(facts.effect, facts.may_have_run)) return count(Denial::effect_may_have_happened);
     if (facts.now > facts.write_by) return count(Denial::write_window_over);
     return Denial::none;
 }
@@ -108,7 +109,6 @@
 }
 
 Denial SendGuard::may_close(const ClientConnection& facts) {
-    if (facts.refused) return Denial::none;
     return facts.request_open ? count(Denial::answer_owed) : Denial::none;
 }
 
--- a/src/core/send_guard.h
+++ b/src/core/send_guard.h
@@ -66,6 +66,8 @@
     struct AttemptWrite {
         bool client_gone = false;
         Instant now, write_by;
+        Effect effect = Effect::pure;
+        bool may_have_run = false;
     };
     // Asked right before its first byte is written, however long its connection took.
     Denial may_write(const AttemptWrite& facts);
@@ -99,9 +101,7 @@
     Denial may_reuse(const PooledConnection& facts);
 
     struct ClientConnection {
-        bool request_open = false;   // read whole, without a final answer
-        bool request_begun = false;  // part of one has been read
-        bool refused = false;        // an error has been written for what it sent
+        bool request_open = false;  // read whole, without a final answer
     };
     Denial may_close(const ClientConnection& facts);
 
--- a/src/desk/desk_attempts.cpp
+++ b/src/desk/desk_attempts.cpp
@@ -87,15 +87,16 @@
 
 Denial Desk::may_be_written(LaunchId launch, bool client_gone, Span told) {
     const auto it = launches_.find(launch);
-    if (it != launches_.end() && !client_gone) {
-        const Ticket& ticket = tickets_[it->second.query];
-        guard_.check_deadline(told, ticket.deadline - outside_.now());
-        guard_.check_effect(ticket.effect, ticket.may_have_run);
-    }
     SendGuard::AttemptWrite facts;
     facts.client_gone = client_gone;
     facts.now = outside_.now();
-    facts.write_by = it != launches_.end() ? it->second.write_by : Instant{};
+    if (it != launches_.end()) {
+        const Ticket& ticket = tickets_[it->second.query];
+        facts.write_by = it->second.write_by;
+        facts.effect = ticket.effect;
+        facts.may_have_run = ticket.may_have_run;
+        if (!client_gone) guard_.check_deadline(told, ticket.deadline - facts.now);
+    }
     return guard_.may_write(facts);
 }
 
--- a/src/node/late_reads.cpp
+++ b/src/node/late_reads.cpp
@@ -3,17 +3,15 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/release_policy.h"
+
 namespace copperfront {
+
+using namespace release_policy;
+
 namespace {
 
 constexpr std::size_t kMostReads = 256;
-constexpr Span kFollowedAtMost{10000000};
-constexpr Span kAnswerWithin{600000};   // else it is asked on another connection: this one may be silent
-constexpr Span kAskAgainAfter{500000};  // where the connection failed
-// Once its server answers, the prefill may take a while: a release after the first time, and then in steps
-// that are shorter than a state may be held.
-constexpr Span kFirstReleaseAfter{250000}, kNextReleaseAfter{900000};
-constexpr std::uint32_t kMostAnswers = 4;
 
 }  // namespace
 
@@ -43,7 +41,7 @@
 
 void LateReads::ask_its_server(Read& read) {
     const Instant now = loop_.now();
-    if (read.call != 0 && now - read.asked_at >= kAnswerWithin) cancel(read.call);
+    if (read.call != 0 && now - read.asked_at >= kFollowedAnswerWithin) cancel(read.call);
     if (read.call != 0 || now < read.next_at || server_is_being_asked(read.server)) return;
     read.call = pool_.start_release(read.server, read.id);
     read.asked_at = now;
@@ -53,7 +51,8 @@
     bool any = false;
     for (ServerIndex other = 0; other < pool_.server_count(); ++other) {
         if (other == than || !pool_.is_reachable(other) || pool_.may_hang(other)) continue;
-        if (any && pool_.last_heard(other) <= pool_.last_heard(found)) continue;
+        const Target candidate{false, pool_.last_heard(other)};
+        if (any && !is_better(candidate, {false, pool_.last_heard(found)})) continue;
         found = other;
         any = true;
     }
--- a/src/node/releases.cpp
+++ b/src/node/releases.cpp
@@ -3,24 +3,23 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/release_policy.h"
+
 namespace copperfront {
+
+using namespace release_policy;
+
 namespace {
 
 constexpr std::size_t kMostOwed = 10000;
-constexpr std::uint32_t kMostTries = 64;
-constexpr std::size_t kMostCallsAtOnce = 24;
-constexpr Span kNextRoundAfter{80000};  // unanswered so long, further servers are told as well
-constexpr Span kAnswerWithin{400000};   // for one call, connecting included
-constexpr Span kGiveUpAfter{3000000};
-// After an attempt that may be followed at once by another one of the same request.
-constexpr Span kBeforeFollowing{50000};
-// A read whose end was not heard may end so long after its connection has closed.
-constexpr Span kUnsureAgainAfter{250000};
 
 }  // namespace
 
 void Releases::order(ServerIndex server, const std::string& id, const ReleaseOrder& order) {
-    if (owed_.size() >= kMostOwed) return;
+    if (owed_.size() >= kMostOwed) {
+        ++counts_.lost;
+        return;
+    }
     auto release = std::make_unique<Release>();
     release->id = id;
     release->server = server;
@@ -51,7 +50,7 @@
         bool found = false;
         for (ServerIndex other = 0; other < pool_.server_count(); ++other) {
             if (!pool_.is_reachable(other) || release.told.count(other) > 0) continue;
-            if (found && !is_better(other, server)) continue;
+            if (found && !is_better(target(other), target(server))) continue;
             server = other;
             found = true;
         }
@@ -60,10 +59,8 @@
     return false;
 }
 
-bool Releases::is_better(ServerIndex candidate, ServerIndex than) const {
-    const bool hangs = pool_.may_hang(candidate), other_hangs = pool_.may_hang(than);
-    if (hangs != other_hangs) return other_hangs;
-    return pool_.last_heard(candidate) > pool_.last_heard(than);
+Target Releases::target(ServerIndex server) const {
+    return {pool_.may_hang(server), pool_.last_heard(server)};
 }
 
 void Releases::go_on(Release& release) {
--- a/src/node/releases.h
+++ b/src/node/releases.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "core/release_policy.h"
 #include "core/rules.h"
 #include "net/loop.h"
 #include "node/late_reads.h"
@@ -68,7 +69,7 @@
     void go_on(Release& release);
     // False: nothing more can be told now.
     bool tell_next_server(Release& release);
-    bool is_better(ServerIndex candidate, ServerIndex than) const;
+    release_policy::Target target(ServerIndex server) const;
     void cancel_calls(Release& release);
     void drop_late_calls(Release& release);
     void finish(Release& release, bool answered);
--- a/src/node/upstream_pool.cpp
+++ b/src/node/upstream_pool.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/release_policy.h"
+
 namespace copperfront {
 namespace {
 
@@ -10,7 +12,6 @@
 constexpr std::size_t kHeldBytes = 64 << 10;  // of a stream whose events wait
 constexpr int kMostInterim = 100;             // 1xx answers ahead of one
 constexpr Span kLookEvery{50000};
-constexpr Span kMayHangAfter{150000};  // with a message unanswered, and nothing heard since
 constexpr Span kLookWhileOwed{20000};  // while releases are owed
 
 }  // namespace
@@ -410,7 +411,7 @@
 
 bool UpstreamPool::may_hang(ServerIndex server) const {
     const Instant since = upstreams_[server].unanswered_since;
-    return since.us != 0 && loop_.now() - since >= kMayHangAfter;
+    return since.us != 0 && loop_.now() - since >= release_policy::kMayHangAfter;
 }
 
 ReleaseCallId UpstreamPool::start_release(ServerIndex server, const std::string& id) {
--- a/tests/core/send_guard_test.cpp
+++ b/tests/core/send_guard_test.cpp
@@ -52,6 +52,9 @@
     SendGuard guard(ms(1000));
     EXPECT_EQ(guard.may_write({false, kNow, kNow}), Denial::none);
     EXPECT_EQ(guard.may_write({true, kNow, kNow}), Denial::client_gone);
+    EXPECT_EQ(guard.may_write({false, kNow, kNow, Effect::effectful, true}),
+              Denial::effect_may_have_happened);
+    EXPECT_EQ(guard.violations(Invariant::effect_at_most_once), 1u);
     EXPECT_EQ(guard.may_write({false, kNow + ms(1), kNow}), Denial::write_window_over);
 }
 
--- a/tests/node/release_test.cpp
+++ b/tests/node/release_test.cpp
@@ -139,6 +139,41 @@
         "the release of the earlier read", [&] { return w.prefill.count("DELETE") > before; }, ms(1000));
 }
 
+// Its server hangs all the while: others are told in steps shorter than a state may be held, and once the
+// server answers it is told again, as the read may take a while from then on.
+TEST(Release, OfALateReadIsRepeatedElsewhereAndOnceItsServerAnswers) {
+    ScriptedWorld w;
+    auto client = w.client();
+    client->say(w.call(w.fresh(), "300"));
+    w.wait_for_post(w.prefill, 1);
+    w.until("a final answer", [&] { return client->status() != 0; });
+    std::size_t at_decode = 0, at_prefill = 0;
+    w.until(
+        "releases elsewhere, the usual two and two more",
+        [&] {
+            w.answer_releases(w.decode, at_decode);
+            return w.decode.count("DELETE") + w.platform.count("DELETE") >= 4;
+        },
+        ms(4000));
+    EXPECT_GT(w.prefill.count("DELETE"), 0u);
+    const std::size_t before = w.prefill.count("DELETE");
+    w.until(
+        "three more once it answers",
+        [&] {
+            w.answer_releases(w.decode, at_decode);
+            w.answer_releases(w.prefill, at_prefill);
+            return w.prefill.count("DELETE") >= before + 3;
+        },
+        ms(4000));
+    w.until(
+        "nothing is followed any more",
+        [&] {
+            w.answer_releases(w.prefill, at_prefill);
+            return w.node->upstreams().late_reads() == 0;
+        },
+        ms(3000));
+}
+
 INSTANTIATE_TEST_SUITE_P(EachEffect, HandOverNeverRead, testing::Values("repeatable", "once"),
                          [](const auto& param) { return std::string(param.param); });
 
