--- a/src/core/release_policy.h
+++ b/src/core/release_policy.h
@@ -13,24 +13,25 @@
 // A release that is owed.
 inline constexpr Span kNextRoundAfter{80000};  // unanswered so long, twice as many further servers are told
 inline constexpr Span kAnswerWithin{400000};   // for one call, connecting included
-inline constexpr Span kGiveUpAfter{3000000};
-inline constexpr std::uint32_t kMostTries = 64;
+inline constexpr Span kGiveUpAfter{10000000};
 inline constexpr std::size_t kMostCallsAtOnce = 24;
+// Once so many calls have not been answered, most of the fleet hangs: from then on a few are made at a time.
+inline constexpr std::uint32_t kManyTries = 64;
+inline constexpr std::uint32_t kCallsOfSlowRound = 2;
+inline constexpr Span kNextSlowRoundAfter{200000};
 // After an attempt that may be followed at once by another one of the same request.
 inline constexpr Span kBeforeFollowing{50000};
-// A read whose end was not heard may end so long after its connection has closed.
-inline constexpr Span kUnsureAgainAfter{250000};
 // With a message unanswered and nothing heard since, a server may hang.
 inline constexpr Span kMayHangAfter{150000};
 
-// A prefill that was taken back at a server which has not been heard from since.
-inline constexpr Span kFollowedAtMost{10000000};
+// An attempt that ended unheard at a server which has not been heard from since.
+inline constexpr Span kFollowedAtMost{30000000};
 inline constexpr Span kFollowedAnswerWithin{600000};  // else it is asked on another connection
 inline constexpr Span kAskAgainAfter{500000};         // where the connection failed
-// Once its server answers, the prefill may take a while: a release after the first time, and then in steps
-// that are shorter than a state may be held.
+// Once its server answers, a prefill may take a while: a release after the first time, and then in steps that
+// are shorter than a state may be held. A hand-over is over as soon as the server sees its close.
 inline constexpr Span kFirstReleaseAfter{250000}, kNextReleaseAfter{900000};
-inline constexpr std::uint32_t kMostAnswers = 4;
+inline constexpr std::uint32_t kMostAnswersOfPrefill = 4, kMostAnswersOfHandOver = 2;
 
 struct Target {
     bool may_hang = false;
--- a/src/core/send_guard.cpp
+++ b/src/core/send_guard.cpp
@@ -5,9 +5,8 @@
 namespace copperfront {
 namespace {
 
-// Of the time in which a held state has to be released: the part after which it is, so that the rest is left
-// for releases that meet servers which hang, and for a gateway that is held up.
-constexpr double kStateLeasePart = 0.7;
+// Of the time in which a held state has to be released: how long the rest of an answer may take.
+constexpr double kAnswerCompletionPart = 0.35;
 // Far more than a close takes between two zones.
 constexpr Span kCloseTravelTime{10000};
 // A server may send an answer twice, the second some milliseconds after the first. Nothing tells it from the
@@ -41,6 +40,10 @@
             return "its time to be written is over";
         case Denial::may_take_newer_state:
             return "it may take a newer state";
+        case Denial::close_not_arrived:
+            return "a close may not have arrived";
+        case Denial::nothing_held:
+            return "nothing is held";
         case Denial::connection_unsafe:
             return "connection not safe to reuse";
         case Denial::answer_owed:
@@ -94,15 +97,21 @@
 
 Span SendGuard::close_travel_time() { return kCloseTravelTime; }
 
-Instant SendGuard::state_lease_end(Instant held_since) const {
-    return held_since + release_within_ * kStateLeasePart;
+Denial SendGuard::may_release(const HoldLedger& ledger, RequestKey request, Instant now) {
+    switch (ledger.need_of_release(request, now)) {
+        case HoldLedger::Need::due:
+            return Denial::none;
+        case HoldLedger::Need::not_yet:
+            return count(Denial::may_take_newer_state);
+        case HoldLedger::Need::close_sent:
+            return count(Denial::close_not_arrived);
+        case HoldLedger::Need::nothing:
+            break;
+    }
+    return count(Denial::nothing_held);
 }
 
-Denial SendGuard::may_release(const Release& facts) {
-    if (facts.stream_begun) return count(Denial::may_take_newer_state);
-    if (facts.attempt_in_flight && facts.now < facts.lease_end) return count(Denial::may_take_newer_state);
-    return Denial::none;
-}
+Span SendGuard::answer_completion_time() const { return release_within_ * kAnswerCompletionPart; }
 
 Denial SendGuard::may_reuse(const PooledConnection& facts) {
     return facts.quiet && facts.rested >= kRestBeforeReuse ? Denial::none : count(Denial::connection_unsafe);
@@ -128,7 +137,7 @@
 }
 
 bool SendGuard::check_released(Instant held_since, Instant released) {
-    if (!has_state_lease() || released - held_since <= release_within_ + kReleaseSlack) return true;
+    if (release_within_.us <= 0 || released - held_since <= release_within_ + kReleaseSlack) return true;
     violated(Invariant::state_released_in_time);
     return false;
 }
--- a/src/core/send_guard.h
+++ b/src/core/send_guard.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "hold_ledger.h"
 #include "terms.h"
 #include "units.h"
 
@@ -25,11 +26,13 @@
     no_time_left,
     write_window_over,     // it was made for a time that has passed
     may_take_newer_state,  // a release that could take a state which an attempt in flight still needs
-    connection_unsafe,     // a pooled connection that may hold bytes or an end of its peer
-    answer_owed,           // a client connection with a request that has no final answer yet
-    shutting_down,         // a request that came too late after SIGTERM to be served to its end
-    still_accepting,       // requests may still come on connections that are open
-    work_left,             // requests, attempts, releases or unsent answers
+    close_not_arrived,     // a release that could overtake the close of an attempt
+    nothing_held,
+    connection_unsafe,  // a pooled connection that may hold bytes or an end of its peer
+    answer_owed,        // a client connection with a request that has no final answer yet
+    shutting_down,      // a request that came too late after SIGTERM to be served to its end
+    still_accepting,    // requests may still come on connections that are open
+    work_left,          // requests, attempts, releases or unsent answers
 };
 inline constexpr std::size_t kDenials = static_cast<std::size_t>(Denial::work_left) + 1;
 // A short name for logs and metrics.
@@ -78,19 +81,15 @@
 
     // ---- held states
 
-    // When a state that is held since then has to be let go, whatever attempt of its request is out, unless
-    // that attempt has been heard from. A call that was written but not answered may lie unread in the socket
-    // of a process that hangs, or on a connection that has fallen silent: it stops no clock. What is left of
-    // the rule's time is for the release itself to arrive.
-    Instant state_lease_end(Instant held_since) const;
-    bool has_state_lease() const { return release_within_.us > 0; }
-
-    struct Release {
-        bool attempt_in_flight = false;  // written or about to be, and not heard from
-        bool stream_begun = false;       // its server runs and has taken the state
-        Instant now, lease_end;
-    };
-    Denial may_release(const Release& facts);
+    // Whether a release is written now. A call that was written but not answered may lie unread in the socket
+    // of a process that hangs, or on a connection that has fallen silent, so it holds up a release only to
+    // the end of the lease; one that was sent while an attempt may wait for the state is owed again after
+    // that attempt's end.
+    Denial may_release(const HoldLedger& ledger, RequestKey request, Instant now);
+
+    // How long the rest of an answer that has begun is waited for, where it is no stream; zero: without end.
+    // The server has done its work by then, and what it holds is held already.
+    Span answer_completion_time() const;
 
     // ---- connections and the process
 
--- a/src/desk/desk.cpp
+++ b/src/desk/desk.cpp
@@ -15,6 +15,7 @@
       admission_(terms.gateways, outside.now()),
       share_(terms.gateways),
       guard_(terms.release_within),
+      ledger_(terms.release_within),
       rules_(terms, *this, seed) {
     admission_.change({{RouteLimits{}}}, terms.gateways, outside.now());
 }
@@ -31,6 +32,7 @@
     watching_.reset();  // its categories and groups may no longer be those of the desk
     share_.change(terms.gateways);
     guard_.change(terms.release_within);
+    ledger_.change(terms.release_within);
     admission_.change(routes, terms.gateways, outside_.now());
     rules_.terms_changed(terms);
 }
@@ -64,7 +66,7 @@
 
 // ---- queries
 
-QueryIndex Desk::open() {
+QueryIndex Desk::open(RequestKey key) {
     sweep();
     QueryIndex query = 0;
     if (free_.empty()) {
@@ -76,6 +78,7 @@
     }
     tickets_[query] = Ticket{};
     tickets_[query].used = true;
+    tickets_[query].key = key != 0 ? key : next_key_++;
     return query;
 }
 
--- a/src/desk/desk.h
+++ b/src/desk/desk.h
@@ -14,6 +14,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/hold_ledger.h"
 #include "core/rules.h"
 #include "core/send_guard.h"
 #include "desk/witness.h"
@@ -41,11 +42,10 @@
     // Takes back a launch that waits for its connection: true, and it was never sent; false: it may have
     // been.
     virtual bool unsend(LaunchId launch, ServerIndex at) = 0;
-    // Whether a launch that was written may lie unread at its server: then it stops no clock of what is held
-    // for its query, before anything has been heard of it.
-    virtual bool may_lie_unread() const { return false; }
-    // `held_since`: from when on the time runs in which it has to be released.
-    virtual void release(ServerIndex at, LaunchId state, Instant held_since) = 0;
+    // Whether releases are answered by servers, and told to the ledger. Otherwise messages arrive in order,
+    // and a release that was sent is as good as done.
+    virtual bool releases_are_answered() const { return false; }
+    virtual void release(ServerIndex at, LaunchId state) = 0;
     virtual void probe(ServerIndex server) = 0;
     virtual void subscribe() = 0;
     // To all other gateways, where terms allow it.
@@ -82,8 +82,10 @@
     void watch(const Terms* terms, std::uint32_t seed);
     const Watching* watching() const { return watching_.get(); }
 
-    // An index for a query that is about to come; query_came must follow.
-    QueryIndex open();
+    // An index for a query that is about to come; query_came must follow. `key`: its name in the ledger; 0:
+    // one of its own.
+    QueryIndex open(RequestKey key = 0);
+    RequestKey key_of(QueryIndex query) const { return tickets_[query].key; }
     // Declined at once where its route's limits are used up. The route's limits are those that it keeps,
     // whatever the terms become meanwhile.
     void query_came(QueryIndex query, Arrival facts, RouteIndex route = 0, const RouteLimits& limits = {},
@@ -120,6 +122,10 @@
     Denial may_be_written(LaunchId launch, bool client_gone, Span told);
     SendGuard& guard() { return guard_; }
     const SendGuard& guard() const { return guard_; }
+    HoldLedger& ledger() { return ledger_; }
+    const HoldLedger& ledger() const { return ledger_; }
+    // A part of a launch's answer has come, which need not be a token.
+    void answer_began(LaunchId launch);
 
     std::size_t open_queries() const { return open_; }
     std::size_t launches_out() const { return launches_.size(); }
@@ -130,12 +136,8 @@
 
   private:
     static constexpr QueryIndex kNobody = ~QueryIndex{0};
-    struct State {
-        ServerIndex at = 0;
-        LaunchId launch = 0;
-        Instant held_since;  // or since a server last answered an attempt of its request
-    };
     struct Ticket {
+        RequestKey key = 0;  // in the ledger
         bool used = false, ended = false, streams = true, held = false;
         Span silence;                                  // the longest that its stream may say nothing
         bool read_begun = false, write_begun = false;  // its first launches were made
@@ -158,7 +160,6 @@
         ServerIndex state_at = 0;
         Account account;                 // kept where a trace is
         const char* why = nullptr;       // that the rules gave last
-        std::vector<State> may_lie;      // to be let go, `state` among them
         std::vector<LaunchId> launches;  // by launch number
     };
     struct Launch {
@@ -212,14 +213,13 @@
     void finish(LaunchId launch, Outcome outcome, std::string_view why = "");
     void call_off(LaunchId launch, const Outcome& outcome, const char* why);
     void over_once_closed(Launch& mine, LaunchId launch, const Outcome& outcome, const char* why);
-    void hold_state(Ticket& ticket, QueryIndex query, ServerIndex server, LaunchId launch);
-    void renew_leases(QueryIndex query);
+    void set_lease_alarm(QueryIndex query);
     void lease_ends(QueryIndex query);
     void ring(const Alarm& alarm);
     void ring_whole(QueryIndex query);
     void ring_launch(const Alarm& alarm);
     void stream_may_be_silent(LaunchId launch);
-    void drop_states(QueryIndex query, LaunchId except);
+    void release_held(QueryIndex query, LaunchId except);
     void end(QueryIndex query, Fate fate, std::string_view why);
     QueryIndex face(QueryIndex query) const { return tickets_[query].copy ? tickets_[query].pair : query; }
     QueryIndex live_pair(QueryIndex query) const;
@@ -256,6 +256,8 @@
     FleetShare share_;
     std::unique_ptr<Watching> watching_;  // null: no other terms are watched
     SendGuard guard_;
+    HoldLedger ledger_;
+    RequestKey next_key_ = 1;
     Rules rules_;
 };
 
--- a/src/desk/desk_attempts.cpp
+++ b/src/desk/desk_attempts.cpp
@@ -57,6 +57,7 @@
         if (!begun) admission_.launched_first(ticket.route, outside_.now());
         begun = true;
         launches_.emplace(id, made);
+        ledger_.attempt_started(ticket.key, id, server, made.reading, outside_.now());
         if (watching_ && !ticket.copy) watching_->launched(query, server, made.reading);
         set_alarm(limit, Ring::limit, id);
         if (witness_) {
@@ -147,47 +148,46 @@
         if (it != launches_.end() && !it->second.called_off && it->second.state != 0)
             awaited = it->second.state;
     }
-    drop_states(query, awaited);
+    release_held(query, awaited);
     if (awaited == 0) ticket.state = 0;
 }
 
-void Desk::drop_states(QueryIndex query, LaunchId except) {
-    Ticket& ticket = tickets_[query];
-    std::erase_if(ticket.may_lie, [&](const State& state) {
-        if (state.launch == except) return false;
+// All that may be held for it but what the prefill `except` has left. What was told before is not told again:
+// the ledger knows whether it is still owed.
+void Desk::release_held(QueryIndex query, LaunchId except) {
+    const RequestKey key = tickets_[query].key;
+    const std::vector<HoldLedger::Entry> entries = ledger_.entries(key);
+    for (const HoldLedger::Entry& entry : entries) {
+        if (entry.attempt == except || entry.wanted) continue;
+        ledger_.want_release(key, entry.attempt);
+    }
+    for (const HoldLedger::Entry& entry : entries) {
+        if (entry.attempt == except || entry.wanted) continue;
         ++tally_.releases;
-        if (witness_) witness_->released(face(query), state.at, state.launch);
-        outside_.release(state.at, state.launch, state.held_since);
-        return true;
-    });
-}
-
-void Desk::hold_state(Ticket& ticket, QueryIndex query, ServerIndex server, LaunchId launch) {
-    ticket.may_lie.push_back({server, launch, outside_.now()});
-    if (!guard_.has_state_lease() || !outside_.may_lie_unread()) return;
-    const Span left = guard_.state_lease_end(outside_.now()) - outside_.now();
-    set_alarm(left, Ring::lease, query);
+        if (witness_) witness_->released(face(query), entry.server, entry.attempt);
+        outside_.release(entry.server, entry.attempt);
+        if (!outside_.releases_are_answered()) ledger_.assume_released(key, entry.attempt);
+    }
 }
 
-// The rule counts from a request's last outcome, and an answer proves that its attempt had arrived. A
-// time-out, a call-off or a connection that never came up proves nothing.
-void Desk::renew_leases(QueryIndex query) {
-    for (State& state : tickets_[query].may_lie) state.held_since = outside_.now();
+void Desk::set_lease_alarm(QueryIndex query) {
+    if (!ledger_.has_lease() || !outside_.releases_are_answered()) return;
+    if (ledger_.entries(tickets_[query].key).empty()) return;
+    set_alarm(ledger_.lease_end(tickets_[query].key) - outside_.now(), Ring::lease, query);
 }
 
 // What is held for a request may not outlive its lease behind a call that nothing was heard of: it is
 // released. The call itself stays out. Had it arrived and taken the state, the release changes nothing for
-// it; if it still waits for the state, or arrives later, its server says that the state has gone, which
-// proves that it never ran.
+// it; if it still waits for the state, the release lets go of nothing and is owed again after its end; if it
+// arrives later, its server says that the state has gone, which proves that it never ran.
 void Desk::lease_ends(QueryIndex query) {
     Ticket& ticket = tickets_[query];
-    if (!ticket.used || ticket.may_lie.empty()) return;
-    Instant first = ticket.may_lie.front().held_since;
-    for (const State& state : ticket.may_lie) first = std::min(first, state.held_since);
-    const Span left = guard_.state_lease_end(first) - outside_.now();
-    if (left.us > 0) return set_alarm(left, Ring::lease, query);
+    if (!ticket.used || ledger_.need_of_release(ticket.key, outside_.now()) == HoldLedger::Need::nothing)
+        return;
+    if (ledger_.lease_end(ticket.key) > outside_.now()) return set_lease_alarm(query);
+    if (ledger_.need_of_release(ticket.key, outside_.now()) != HoldLedger::Need::due) return;
     ++tally_.leases_ended;
-    drop_states(query, 0);
+    release_held(query, 0);
     ticket.state = 0;
     if (!ticket.ended && !ticket.done) rules_.state_expired(query);
 }
@@ -235,8 +235,9 @@
     tickets_[query].bound = launch;
     set_alarm(ticket.silence, Ring::stream, launch);
     // With the first token the state has been fetched; whatever else lies about for this query goes now.
-    std::erase_if(ticket.may_lie, [&](const State& state) { return state.launch == l.state; });
-    drop_states(l.query, 0);
+    ledger_.assume_released(ticket.key, l.state);
+    release_held(l.query, 0);
+    ledger_.stream_began(ticket.key, launch, outside_.now());
     ticket.state = 0;
     admission_.began(ticket.route, outside_.now() - ticket.came, outside_.now());
     admission_.tokens_came(ticket.route, 1, outside_.now());
@@ -247,6 +248,12 @@
     return true;
 }
 
+void Desk::answer_began(LaunchId launch) {
+    const auto it = launches_.find(launch);
+    if (it == launches_.end() || it->second.called_off) return;
+    ledger_.answer_began(tickets_[it->second.query].key, launch, outside_.now());
+}
+
 void Desk::launch_ended(LaunchId launch, Outcome outcome) {
     const auto it = launches_.find(launch);
     if (it == launches_.end() || it->second.called_off) return;
@@ -274,17 +281,18 @@
     outcome.over = ticket.ended || ticket.done;
     const Ending e = outcome.ending;
     const bool never_there = e == Ending::unsent || e == Ending::unreachable || e == Ending::full;
-    if (e == Ending::read || e == Ending::full || e == Ending::error) renew_leases(l.query);
-    if (l.reading && !never_there) hold_state(ticket, l.query, l.server, id);
+    if (e == Ending::settled) {
+        ledger_.assume_released(ticket.key, l.state);
+        release_held(l.query, 0);
+    }
+    ledger_.attempt_over(ticket.key, id, e, outside_.now());
+    if (l.reading && !never_there) set_lease_alarm(l.query);
     if (!l.reading && !never_there) ticket.may_have_run = true;
     if (l.reading && e == Ending::read) {
         ticket.state = id;
         ticket.state_at = l.server;
     }
-    if (e == Ending::settled) {
-        std::erase_if(ticket.may_lie, [&](const State& state) { return state.launch == l.state; });
-        if (l.state == ticket.state) ticket.state = 0;
-    }
+    if (e == Ending::settled && l.state == ticket.state) ticket.state = 0;
     const LaunchId bound = tickets_[asked].bound;
     if (!tickets_[asked].ended && !ticket.done) {
         if (e == Ending::settled && (bound == 0 || bound == id)) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -450,7 +450,7 @@
 
 void Gateway::call_off(LaunchId launch, ServerIndex at) { engines_->call_off(at, launch); }
 
-void Gateway::release(ServerIndex at, LaunchId state, Instant) { engines_->release(at, state_name(state)); }
+void Gateway::release(ServerIndex at, LaunchId state) { engines_->release(at, state_name(state)); }
 
 void Gateway::probe(ServerIndex server) { engines_->probe(server); }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -71,7 +71,7 @@
                     Span limit) override;
     void call_off(LaunchId launch, ServerIndex at) override;
     bool unsend(LaunchId launch, ServerIndex) override { return engines_->unsend(launch); }
-    void release(ServerIndex at, LaunchId state, Instant) override;
+    void release(ServerIndex at, LaunchId state) override;
     void probe(ServerIndex server) override;
     void subscribe() override;
     void tell_peers(std::string_view note) override {
--- /dev/null
+++ b/src/node/late_attempts.cpp
@@ -0,0 +1,114 @@
+#include "node/late_attempts.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/release_policy.h"
+
+namespace copperfront {
+
+using namespace release_policy;
+
+namespace {
+
+constexpr std::size_t kMostAttempts = 1024;
+
+}  // namespace
+
+void LateAttempts::follow(const Followed& attempt) {
+    if (attempts_.size() >= kMostAttempts) {
+        ++overflows_;
+        return;
+    }
+    Attempt made;
+    made.what = attempt;
+    made.until = loop_.now() + kFollowedAtMost;
+    made.next_at = loop_.now();
+    made.other_at = loop_.now() + kNextReleaseAfter;
+    attempts_.push_back(std::move(made));
+}
+
+bool LateAttempts::server_is_being_asked(ServerIndex server) const {
+    return std::any_of(attempts_.begin(), attempts_.end(), [server](const Attempt& attempt) {
+        return attempt.call != 0 && attempt.what.server == server;
+    });
+}
+
+bool LateAttempts::is_over(const Attempt& attempt) const {
+    const std::uint32_t most = attempt.what.prefill ? kMostAnswersOfPrefill : kMostAnswersOfHandOver;
+    return attempt.answered >= most || loop_.now() > attempt.until ||
+           !pool_.is_reachable(attempt.what.server);
+}
+
+void LateAttempts::cancel(ReleaseCallId& call) {
+    if (call != 0) pool_.cancel_release(std::exchange(call, 0));
+}
+
+void LateAttempts::ask_its_server(Attempt& attempt) {
+    const Instant now = loop_.now();
+    if (attempt.call != 0 && now - attempt.asked_at >= kFollowedAnswerWithin) cancel(attempt.call);
+    if (attempt.call != 0 || now < attempt.next_at || server_is_being_asked(attempt.what.server)) return;
+    attempt.call = pool_.start_release(attempt.what.server, attempt.what.id);
+    attempt.asked_at = now;
+}
+
+bool LateAttempts::find_another(ServerIndex than, ServerIndex& found) const {
+    bool any = false;
+    for (ServerIndex other = 0; other < pool_.server_count(); ++other) {
+        if (other == than || !pool_.is_reachable(other) || pool_.may_hang(other)) continue;
+        const Target candidate{false, pool_.last_heard(other)};
+        if (any && !is_better(candidate, {false, pool_.last_heard(found)})) continue;
+        found = other;
+        any = true;
+    }
+    return any;
+}
+
+void LateAttempts::tell_another(Attempt& attempt) {
+    if (attempt.answered > 0 || loop_.now() < attempt.other_at) return;
+    cancel(attempt.other_call);
+    ServerIndex other = 0;
+    if (find_another(attempt.what.server, other)) {
+        attempt.other_call = pool_.start_release(other, attempt.what.id);
+    }
+    attempt.other_at = loop_.now() + kNextReleaseAfter;
+}
+
+void LateAttempts::look() {
+    for (Attempt& attempt : attempts_) {
+        if (is_over(attempt)) continue;
+        // What is sent now could take the state that another attempt leaves.
+        if (pool_.ledger().is_attempt_out(attempt.what.key)) continue;
+        ask_its_server(attempt);
+        tell_another(attempt);
+    }
+    std::erase_if(attempts_, [this](Attempt& attempt) {
+        const bool over = is_over(attempt);
+        if (over) {
+            cancel(attempt.call);
+            cancel(attempt.other_call);
+        }
+        return over;
+    });
+}
+
+bool LateAttempts::call_ended(ReleaseCallId call, bool answered) {
+    const auto mine = std::find_if(attempts_.begin(), attempts_.end(), [call](const Attempt& attempt) {
+        return attempt.call == call || attempt.other_call == call;
+    });
+    if (mine == attempts_.end()) return false;
+    if (mine->other_call == call) {
+        mine->other_call = 0;
+        return true;
+    }
+    mine->call = 0;
+    if (!answered) {
+        mine->next_at = loop_.now() + kAskAgainAfter;
+        return true;
+    }
+    mine->next_at = loop_.now() + (mine->answered == 0 ? kFirstReleaseAfter : kNextReleaseAfter);
+    ++mine->answered;
+    return true;
+}
+
+}  // namespace copperfront
--- /dev/null
+++ b/src/node/late_attempts.h
@@ -0,0 +1,60 @@
+// Attempts that ended unheard at servers which have not been heard from since. Such a server may hang with
+// the call in its socket, or in hand: a reset does not take that back. Once it runs again a prefill leaves a
+// state that nobody wants, and a hand-over has waited for one up to then. So the server is asked with a
+// release until it answers, and told again while the attempt may still end; meanwhile another server is told
+// in steps shorter than a state may be held.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/hold_ledger.h"
+#include "core/rules.h"
+#include "net/loop.h"
+#include "node/release_pool.h"
+
+namespace copperfront {
+
+class LateAttempts {
+  public:
+    LateAttempts(Loop& loop, ReleasePool& pool) : loop_(loop), pool_(pool) {}
+
+    struct Followed {
+        ServerIndex server = 0;
+        RequestKey key = 0;
+        std::string id;  // of the request
+        bool prefill = false;
+    };
+    void follow(const Followed& attempt);
+    // False: the call is none of these.
+    bool call_ended(ReleaseCallId call, bool answered);
+    // To be called often: sends what has become due.
+    void look();
+    std::size_t size() const { return attempts_.size(); }
+    // Attempts that were not followed because there were too many.
+    std::uint64_t overflows() const { return overflows_; }
+
+  private:
+    struct Attempt {
+        Followed what;
+        Instant until, next_at, asked_at;
+        ReleaseCallId call = 0;        // to its own server
+        ReleaseCallId other_call = 0;  // to another one
+        Instant other_at;
+        std::uint32_t answered = 0;
+    };
+    void ask_its_server(Attempt& attempt);
+    void tell_another(Attempt& attempt);
+    bool find_another(ServerIndex than, ServerIndex& found) const;
+    void cancel(ReleaseCallId& call);
+    bool is_over(const Attempt& attempt) const;
+    bool server_is_being_asked(ServerIndex server) const;
+
+    Loop& loop_;
+    ReleasePool& pool_;
+    std::vector<Attempt> attempts_;
+    std::uint64_t overflows_ = 0;
+};
+
+}  // namespace copperfront
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -22,7 +22,7 @@
 constexpr Span kLongestGap{4600000};
 constexpr Span kClientsEndWithin{2800000};  // after SIGTERM, with nothing else left
 // What a server that hangs may still leave is waited for so long after SIGTERM.
-constexpr Span kStayForLateReads{3000000};
+constexpr Span kStayForLateAttempts{3000000};
 constexpr Span kLookForEnd{20000}, kLastWords{100000};
 
 struct Sizes {
@@ -81,6 +81,7 @@
     Outside& outside = *this;
     desk_ = std::make_unique<Desk>(terms_.core, outside, terms_.seed);
     desk_->limits_changed(std::vector<RouteLimits>{limits()}, terms_.core.gateways);
+    desk_->ledger().name_servers([this](ServerIndex server) { return known_[server].name; });
     platform::News known = terms_.known;
     known.whole = true;
     // It may be old, so it confirms nothing.
@@ -153,7 +154,9 @@
     if (const Denial denial = guard().may_accept(stopping_, loop_.now() - stop_asked_);
         denial != Denial::none)
         return clients_->answer(client, 503, "", text_of(denial));
-    const QueryIndex query = desk_->open();
+    // Servers tell requests by their ids, so what is held for an earlier one with this id is held for this
+    // one.
+    const QueryIndex query = desk_->open(mark(call.id));
     if (query >= open_.size()) open_.resize(query + 1);
     Open& open = open_[query];
     open = Open{};
@@ -225,7 +228,6 @@
 void Node::send(LaunchId launch, ServerIndex to, QueryIndex query, Span limit, bool reading) {
     Open& open = open_[query];
     open.attempts.push_back({launch, to, reading});
-    ++open.out;
     of_launch_[launch] = query;
     request_log_.attempt_started(described(query, launch), loop_.now());
     UpstreamPool::Call call;
@@ -249,51 +251,43 @@
     send(launch, to, query, limit, false);
 }
 
-void Node::no_longer_out(LaunchId launch) {
-    const auto it = of_launch_.find(launch);
-    if (it != of_launch_.end() && open_[it->second].out > 0) --open_[it->second].out;
-}
-
 void Node::call_off(LaunchId launch, ServerIndex) {
     if (const auto it = of_launch_.find(launch); it != of_launch_.end())
         request_log_.attempt_over(described(it->second, launch), Ending::retracted,
                                   "called off by the gateway", loop_.now());
-    no_longer_out(launch);
     upstreams_->call_off(launch);
 }
 
-bool Node::unsend(LaunchId launch, ServerIndex) {
-    if (!upstreams_->unsend(launch)) return false;
-    no_longer_out(launch);
-    return true;
-}
+bool Node::unsend(LaunchId launch, ServerIndex) { return upstreams_->unsend(launch); }
 
-void Node::release(ServerIndex at, LaunchId state, Instant held_since) {
+void Node::release(ServerIndex at, LaunchId state) {
     const auto it = of_launch_.find(state);
     if (it == of_launch_.end()) return;
-    Open& open = open_[it->second];
-    const bool held = open.state == state;
-    if (held) open.state = 0;
+    const Open& open = open_[it->second];
     const auto still_open = by_id_.find(open.id);
     ReleaseOrder order;
-    order.unsure = !held;
+    order.key = desk_->key_of(it->second);
+    order.id = open.id;
+    order.server = at;
     order.may_be_followed = still_open != by_id_.end() && still_open->second == it->second;
-    order.held_since = held_since;
-    const bool lease_ended = loop_.now() >= guard().state_lease_end(held_since);
-    request_log_.state_released(open.id, known_[at].name, loop_.now() - held_since, lease_ended, loop_.now());
-    upstreams_->release(at, open.id, order);
+    for (const HoldLedger::Entry& entry : ledger().entries(order.key)) {
+        if (entry.attempt == state) order.unheard = entry.reason != HoldReason::prefill_answered;
+    }
+    const Span held = loop_.now() - ledger().held_since(order.key);
+    const bool lease_ended = loop_.now() >= ledger().lease_end(order.key);
+    request_log_.state_released(open.id, known_[at].name, held, lease_ended, loop_.now());
+    upstreams_->release(order);
 }
 
-ReleasePool::Use Node::use_of(const std::string& id) const {
-    const auto it = by_id_.find(id);
-    if (it == by_id_.end()) return {};
-    const Open& open = open_[it->second];
-    return {open.out > 0 || open.state != 0, open.out > 0 && open.streams};
+void Node::release_answered(const std::string& id, const HoldLedger::ReleaseResult& result) {
+    const Span held = loop_.now() - result.held_since;
+    const bool in_time = guard().check_released(result.held_since, loop_.now());
+    request_log_.release_answered(id, result.proof, held, in_time, result.history, loop_.now());
 }
 
-void Node::release_over(const std::string& id, bool answered, Instant held_since) {
-    const bool in_time = guard().check_released(held_since, loop_.now());
-    request_log_.release_over(id, answered, loop_.now() - held_since, in_time);
+void Node::release_given_up(const std::string& id, const HoldLedger::ReleaseResult& result) {
+    guard().check_released(result.held_since, loop_.now());
+    request_log_.release_given_up(id, loop_.now() - result.held_since, result.history);
 }
 
 Denial Node::may_write(LaunchId launch, Span told) {
@@ -324,11 +318,7 @@
     const auto it = of_launch_.find(launch);
     if (it != of_launch_.end()) {
         request_log_.attempt_over(described(it->second, launch), outcome.ending, what, loop_.now());
-        Open& open = open_[it->second];
-        if (open.out > 0) --open.out;
-        if (outcome.ending == Ending::read) open.state = launch;
-        const Ending e = outcome.ending;
-        if (e == Ending::read || e == Ending::full || e == Ending::error) upstreams_->renew_releases(open.id);
+        const Open& open = open_[it->second];
         if (outcome.ending == Ending::unsent) {
             const ClientId client = open.client;
             clients_->break_off(client);
@@ -346,7 +336,6 @@
         request_log_.first_event(open.id, launch);
         open.streams = true;
         open.bound = launch;
-        open.state = 0;
         // Nothing is sent for it any more.
         open.body = {};
         open.forwarded_fields = {};
@@ -450,7 +439,7 @@
     facts.requests = desk_->open_queries();
     facts.attempts = desk_->launches_out();
     facts.releases = upstreams_->owed();
-    if (facts.since_asked < kStayForLateReads) facts.releases += upstreams_->late_reads();
+    if (facts.since_asked < kStayForLateAttempts) facts.releases += upstreams_->late_attempts().size();
     facts.unsent_answers = loop_.adopted();
     return facts;
 }
@@ -470,19 +459,22 @@
     const Tally& t = desk_->tally();
     const UpstreamPool::Counts& c = upstreams_->counts();
     const Releases::Counts& r = upstreams_->release_counts();
-    log_.say(Weight::info, "node", "stopped",
-             {{"came", static_cast<std::int64_t>(t.came)},
-              {"settled", static_cast<std::int64_t>(t.settled)},
-              {"declined", static_cast<std::int64_t>(t.declined)},
-              {"given_up", static_cast<std::int64_t>(t.given_up)},
-              {"left", static_cast<std::int64_t>(t.left)},
-              {"connections_made", static_cast<std::int64_t>(c.made)},
-              {"connections_reused", static_cast<std::int64_t>(c.reused)},
-              {"releases", static_cast<std::int64_t>(r.ordered)},
-              {"releases_again", static_cast<std::int64_t>(r.repeated)},
-              {"releases_lost", static_cast<std::int64_t>(r.lost)},
-              {"state_leases_ended", static_cast<std::int64_t>(t.leases_ended)},
-              {"violations", static_cast<std::int64_t>(guard().violations())}});
+    log_.say(
+        Weight::info, "node", "stopped",
+        {{"came", static_cast<std::int64_t>(t.came)},
+         {"settled", static_cast<std::int64_t>(t.settled)},
+         {"declined", static_cast<std::int64_t>(t.declined)},
+         {"given_up", static_cast<std::int64_t>(t.given_up)},
+         {"left", static_cast<std::int64_t>(t.left)},
+         {"connections_made", static_cast<std::int64_t>(c.made)},
+         {"connections_reused", static_cast<std::int64_t>(c.reused)},
+         {"releases", static_cast<std::int64_t>(r.ordered)},
+         {"releases_again", static_cast<std::int64_t>(r.repeated)},
+         {"releases_lost", static_cast<std::int64_t>(r.lost)},
+         {"holds_not_booked", static_cast<std::int64_t>(desk_->ledger().overflows())},
+         {"late_attempts_not_followed", static_cast<std::int64_t>(upstreams_->late_attempts().overflows())},
+         {"state_leases_ended", static_cast<std::int64_t>(t.leases_ended)},
+         {"violations", static_cast<std::int64_t>(guard().violations())}});
     ended_ = true;
     stop_timer_.set(kLastWords);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -49,9 +49,7 @@
         std::string id, method, target, body;
         std::string forwarded_fields;  // header lines that go on to the model server as they came
         bool used = false, streams = false;
-        std::uint32_t out = 0;  // launches that are
-        LaunchId state = 0;     // a read that ended well, whose state nobody has taken yet
-        LaunchId bound = 0;     // the launch whose stream the client gets
+        LaunchId bound = 0;  // the launch whose stream the client gets
         struct Attempt {
             LaunchId id = 0;
             ServerIndex server = 0;
@@ -67,8 +65,8 @@
                     Span limit) override;
     void call_off(LaunchId launch, ServerIndex at) override;
     bool unsend(LaunchId launch, ServerIndex at) override;
-    bool may_lie_unread() const override { return true; }
-    void release(ServerIndex at, LaunchId state, Instant held_since) override;
+    bool releases_are_answered() const override { return true; }
+    void release(ServerIndex at, LaunchId state) override;
     void probe(ServerIndex) override {}
     void subscribe() override {}
     void settled(QueryIndex query) override;
@@ -85,15 +83,16 @@
     RequestLog::Attempt described(QueryIndex query, LaunchId launch) const;
     void events_came(LaunchId launch, std::string_view events, std::size_t count) override;
     Denial may_write(LaunchId launch, Span told) override;
-    ReleasePool::Use use_of(const std::string& id) const override;
-    void release_over(const std::string& id, bool answered, Instant held_since) override;
+    void answer_began(LaunchId launch) override { desk_->answer_began(launch); }
+    void release_answered(const std::string& id, const HoldLedger::ReleaseResult& result) override;
+    void release_given_up(const std::string& id, const HoldLedger::ReleaseResult& result) override;
     SendGuard& guard() override { return desk_->guard(); }
+    HoldLedger& ledger() override { return desk_->ledger(); }
     SendGuard::Shutdown shutdown_facts() const;
 
     void list_told(const platform::News& news);
     ServerIndex index_of(const platform::Entry& entry, Instant started);
     void send(LaunchId launch, ServerIndex to, QueryIndex query, Span limit, bool reading);
-    void no_longer_out(LaunchId launch);
     Open& answered(QueryIndex query);
     void look_for_end();
     RouteLimits limits() const;
--- a/src/node/release_pool.h
+++ b/src/node/release_pool.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "core/hold_ledger.h"
 #include "core/rules.h"
 #include "core/send_guard.h"
 
@@ -26,13 +27,10 @@
     // 0: no connection is to be had now. `call_ended` follows otherwise, never from within this call.
     virtual ReleaseCallId start_release(ServerIndex server, const std::string& id) = 0;
     virtual void cancel_release(ReleaseCallId call) = 0;
-    struct Use {
-        bool attempt_in_flight = false, stream_begun = false;
-    };
-    // What is under way for this request now.
-    virtual Use use_of(const std::string& id) const = 0;
-    // The release was answered, or given up; either way after this time.
-    virtual void release_over(const std::string& id, bool answered, Instant held_since) = 0;
+    // A release that was answered has proved something, or it was given up.
+    virtual void release_answered(const std::string& id, const HoldLedger::ReleaseResult& result) = 0;
+    virtual void release_given_up(const std::string& id, const HoldLedger::ReleaseResult& result) = 0;
+    virtual HoldLedger& ledger() = 0;
     virtual SendGuard& guard() = 0;
 };
 
--- a/src/node/releases.cpp
+++ b/src/node/releases.cpp
@@ -3,41 +3,39 @@
 #include <algorithm>
 #include <utility>
 
-#include "core/release_policy.h"
-
 namespace copperfront {
 
 using namespace release_policy;
 
-namespace {
-
-constexpr std::size_t kMostOwed = 10000;
-
-}  // namespace
+Releases::Release* Releases::find(RequestKey key) {
+    for (const auto& release : owed_) {
+        if (release->key == key && !release->over) return release.get();
+    }
+    return nullptr;
+}
 
-void Releases::order(ServerIndex server, const std::string& id, const ReleaseOrder& order) {
-    if (owed_.size() >= kMostOwed) {
-        ++counts_.lost;
-        return;
+void Releases::order(const ReleaseOrder& order) {
+    Release* release = find(order.key);
+    if (release == nullptr) {
+        owed_.push_back(std::make_unique<Release>());
+        release = owed_.back().get();
+        release->key = order.key;
+        release->id = order.id;
+        ++counts_.ordered;
     }
-    auto release = std::make_unique<Release>();
-    release->id = id;
-    release->server = server;
-    release->unsure = release->read_may_end_late = order.unsure;
-    release->held_since = order.held_since;
-    if (order.unsure) release->told.insert(server);
+    start_over(*release);
+    release->server = order.server;
+    if (order.unheard) release->told.insert(order.server);
     if (order.may_be_followed) release->not_before = loop_.now() + kBeforeFollowing;
-    release->ordered_at = loop_.now();
-    release->give_up_at = loop_.now() + kGiveUpAfter;
-    ++counts_.ordered;
-    owed_.push_back(std::move(release));
-    go_on(*owed_.back());
+    go_on(*release);
 }
 
-void Releases::renew(const std::string& id) {
-    for (const auto& release : owed_) {
-        if (release->id == id) release->held_since = loop_.now();
-    }
+void Releases::start_over(Release& release) {
+    release.told.clear();
+    release.tries = 0;
+    release.calls_of_round = 1;
+    release.next_call_at = {};
+    release.give_up_at = loop_.now() + kGiveUpAfter;
 }
 
 bool Releases::next_server(Release& release, ServerIndex& server) const {
@@ -66,85 +64,100 @@
 void Releases::go_on(Release& release) {
     const Instant now = loop_.now();
     if (release.over || now < release.not_before || now < release.next_call_at) return;
-    if (release.calls.size() >= kMostCallsAtOnce) return;
-    const ReleasePool::Use use = pool_.use_of(release.id);
-    SendGuard::Release facts;
-    facts.attempt_in_flight = use.attempt_in_flight;
-    facts.stream_begun = use.stream_begun;
-    facts.now = now;
-    facts.lease_end = pool_.guard().state_lease_end(release.held_since);
-    if (pool_.guard().may_release(facts) != Denial::none) {
-        release.give_up_at = now + kGiveUpAfter;
-        // Its server runs and has the request: the time stands still until the stream has ended.
-        if (facts.stream_begun) release.held_since = now;
-        return;
+    switch (pool_.guard().may_release(pool_.ledger(), release.key, now)) {
+        case Denial::none:
+            break;
+        case Denial::nothing_held:
+            release.over = true;
+            return cancel_calls(release);
+        default:
+            release.give_up_at = now + kGiveUpAfter;
+            return;
     }
-    if (release.tries >= kMostTries || now > release.give_up_at) return finish(release, false);
-    for (std::uint32_t n = 0; n < release.calls_of_round; ++n) {
-        if (release.calls.size() >= kMostCallsAtOnce || !tell_next_server(release)) break;
+    if (now > release.give_up_at) {
+        ++counts_.lost;
+        const HoldLedger::ReleaseResult result = pool_.ledger().give_up(release.key);
+        finish(release, result);
+        return pool_.release_given_up(release.id, result);
+    }
+    tell_round(release);
+}
+
+void Releases::tell_round(Release& release) {
+    const bool slow = release.tries >= kManyTries;
+    const std::uint32_t most = slow ? kCallsOfSlowRound : release.calls_of_round;
+    for (std::uint32_t n = 0; n < most && release.calls.size() < kMostCallsAtOnce; ++n) {
+        if (!tell_next_server(release)) break;
     }
-    if (release.over) return;
     release.calls_of_round *= 2;
-    release.next_call_at = now + kNextRoundAfter;
+    release.next_call_at = loop_.now() + (slow ? kNextSlowRoundAfter : kNextRoundAfter);
 }
 
 bool Releases::tell_next_server(Release& release) {
     ServerIndex server = 0;
-    if (!next_server(release, server)) {
-        finish(release, false);
-        return false;
-    }
+    if (!next_server(release, server)) return false;
     const ReleaseCallId call = pool_.start_release(server, release.id);
     // No connection is to be had; it is looked at again soon.
     if (call == 0) return false;
+    pool_.ledger().release_written(release.key, server, loop_.now());
     if (release.tries++ > 0) ++counts_.repeated;
     release.told.insert(server);
-    release.calls.push_back({call, loop_.now()});
+    release.calls.push_back({call, server, loop_.now()});
     return true;
 }
 
-void Releases::call_ended(ReleaseCallId call, bool answered) {
-    if (late_reads_.call_ended(call, answered)) return;
+void Releases::call_ended(ReleaseCallId call, bool answered_well) {
+    if (late_attempts_.call_ended(call, answered_well)) return;
     for (const auto& release : owed_) {
         const auto mine = std::find_if(release->calls.begin(), release->calls.end(),
                                        [call](const Call& one) { return one.id == call; });
         if (mine == release->calls.end()) continue;
+        const Call ended = *mine;
         release->calls.erase(mine);
-        if (!answered) {
-            release->next_call_at = loop_.now();
-            return;
-        }
-        if (!release->unsure) return finish(*release, true);
-        // Against a read that ends well after all, just as its connection closed or broke.
-        release->unsure = false;
-        cancel_calls(*release);
-        release->not_before = loop_.now() + kUnsureAgainAfter;
-        release->calls_of_round = 1;
-        release->told.clear();
+        if (answered_well) return answered(*release, ended);
+        if (release->tries < kManyTries) release->next_call_at = loop_.now();
         return;
     }
 }
 
+void Releases::answered(Release& release, const Call& call) {
+    const HoldLedger::ReleaseResult result =
+        pool_.ledger().release_answered(release.key, call.server, call.written, loop_.now());
+    switch (result.proof) {
+        case HoldLedger::Proof::nothing:
+            return;
+        case HoldLedger::Proof::lease_only:
+        case HoldLedger::Proof::once_more:
+            cancel_calls(release);
+            start_over(release);
+            break;
+        case HoldLedger::Proof::let_go:
+            finish(release, result);
+            break;
+    }
+    pool_.release_answered(release.id, result);
+}
+
 void Releases::cancel_calls(Release& release) {
     const std::vector<Call> calls = std::exchange(release.calls, {});
     for (const Call& call : calls) pool_.cancel_release(call.id);
 }
 
-void Releases::finish(Release& release, bool answered) {
+void Releases::finish(Release& release, const HoldLedger::ReleaseResult& result) {
     release.over = true;
-    if (!answered) ++counts_.lost;
     cancel_calls(release);
-    const bool silent_since = pool_.last_heard(release.server) <= release.ordered_at;
-    if (release.read_may_end_late && silent_since && pool_.is_reachable(release.server)) {
-        late_reads_.follow(release.server, release.id);
+    for (const HoldLedger::UnheardAttempt& attempt : result.unheard) {
+        const bool silent_since = pool_.last_heard(attempt.server) <= attempt.over_at;
+        if (silent_since && pool_.is_reachable(attempt.server)) {
+            late_attempts_.follow({attempt.server, release.key, release.id, attempt.prefill});
+        }
     }
-    pool_.release_over(release.id, answered, release.held_since);
 }
 
 void Releases::drop_late_calls(Release& release) {
     const Instant now = loop_.now();
     for (std::size_t n = 0; n < release.calls.size();) {
-        if (now - release.calls[n].since < kAnswerWithin) {
+        if (now - release.calls[n].written < kAnswerWithin) {
             ++n;
             continue;
         }
@@ -160,7 +173,7 @@
         go_on(*release);
     }
     std::erase_if(owed_, [](const auto& release) { return release->over; });
-    late_reads_.look();
+    late_attempts_.look();
 }
 
 }  // namespace copperfront
--- a/src/node/request_log.cpp
+++ b/src/node/request_log.cpp
@@ -29,6 +29,20 @@
     return "";
 }
 
+const char* text_of(HoldLedger::Proof proof) {
+    switch (proof) {
+        case HoldLedger::Proof::nothing:
+            return "release proved nothing";
+        case HoldLedger::Proof::lease_only:
+            return "release answered while an attempt may wait; owed again";
+        case HoldLedger::Proof::once_more:
+            return "release answered; told once more";
+        case HoldLedger::Proof::let_go:
+            return "release answered; nothing is held";
+    }
+    return "";
+}
+
 }  // namespace
 
 bool RequestLog::may_write_unusual(Instant now) {
@@ -85,15 +99,23 @@
              {{"request", std::string(request)}, {"server", std::string(server)}, {"held_ms", held.ms()}});
 }
 
-void RequestLog::release_over(std::string_view request, bool answered, Span held, bool in_time) {
-    const bool well = answered && in_time;
-    const Weight weight = well ? Weight::debug : Weight::warn;
+void RequestLog::release_answered(std::string_view request, HoldLedger::Proof proof, Span held, bool in_time,
+                                  std::string_view history, Instant now) {
+    const bool unusual = !history.empty();
+    if (in_time && (unusual ? !may_write_unusual(now) : !writes_usual())) return;
+    const Weight weight = !in_time ? Weight::warn : unusual ? Weight::info : Weight::debug;
     if (!log_.writes(weight)) return;
-    log_.say(weight, "request",
-             !answered ? "release not answered by any server"
-             : well    ? "release answered"
-                       : "release answered late",
-             {{"request", std::string(request)}, {"held_ms", held.ms()}});
+    log_.say(weight, "request", text_of(proof),
+             {{"request", std::string(request)},
+              {"held_ms", held.ms()},
+              {"in_time", std::string(in_time ? "yes" : "no")},
+              {"history", std::string(history)}});
+}
+
+void RequestLog::release_given_up(std::string_view request, Span held, std::string_view history) {
+    if (!log_.writes(Weight::warn)) return;
+    log_.say(Weight::warn, "request", "release not answered by any server",
+             {{"request", std::string(request)}, {"held_ms", held.ms()}, {"history", std::string(history)}});
 }
 
 void RequestLog::request_over(std::string_view request, Final final, std::string_view reason, Instant now) {
--- a/src/node/request_log.h
+++ b/src/node/request_log.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/hold_ledger.h"
 #include "core/rules.h"
 #include "core/units.h"
 #include "logging/log.h"
@@ -33,7 +34,11 @@
     // `held`: how long it has been held.
     void state_released(std::string_view request, std::string_view server, Span held, bool lease_ended,
                         Instant now);
-    void release_over(std::string_view request, bool answered, Span held, bool in_time);
+    // `held`: since the time began to run. `history`: what happened to the request, where its course was
+    // unusual. A hold that ended late is written whatever else is left out.
+    void release_answered(std::string_view request, HoldLedger::Proof proof, Span held, bool in_time,
+                          std::string_view history, Instant now);
+    void release_given_up(std::string_view request, Span held, std::string_view history);
     enum class Final { completed, rejected, failed, client_left };
     void request_over(std::string_view request, Final final, std::string_view reason, Instant now);
 
--- a/src/node/upstream_pool.cpp
+++ b/src/node/upstream_pool.cpp
@@ -76,8 +76,29 @@
         all_.upstreams_[server_].unanswered_since = {};
         // Against a second answer that comes late: the next request would take it for its own.
         if (use_ == Use::none) return all_.drop(*this, false);
+        if (use_ == Use::launch && answer_began_.us == 0) {
+            answer_began_ = all_.loop_.now();
+            all_.owner_.answer_began(launch_);
+        }
         read();
     }
+    // The rest of an answer that is no stream has not come within this time. A prefill server has read by the
+    // time that it answers; what a decode server has begun to say may yet become a stream.
+    bool is_incomplete(Span within) const {
+        if (use_ != Use::launch || answer_began_.us == 0 || events_) return false;
+        const bool head_done = message_ && message_->head_done();
+        return (reading_ || head_done) && all_.loop_.now() - answer_began_ >= within;
+    }
+    // What its head says holds without its body too; such a connection is of no further use.
+    void end_incomplete() {
+        const bool head_done = message_ && message_->head_done() && message_->head().status / 100 != 1;
+        if (!head_done) {
+            spoilt("the rest of its answer does not come");
+            return;
+        }
+        ++all_.counts_.spoilt;
+        answered();
+    }
     void stream_closed(Stream&, Closing why, const std::string& what) override {
         if (use_ == Use::none) return all_.drop(*this, false);
         const bool unsent = why == Closing::not_made || never_sent();
@@ -91,6 +112,7 @@
         call_ = std::move(call);
         interim_ = 0;
         begun_ = held_back_ = reusable_ = false;
+        answer_began_ = {};
         kept_ = stream_->made();
         body_ = {};
         if (stream_->made()) write();
@@ -188,7 +210,10 @@
         reusable_ = message_->done() && head.keeps_open;
         const bool stream = events_ != nullptr;
         const std::string body = std::exchange(body_, {});
-        if (use_ == Use::release) return all_.released(*this, true);
+        if (use_ == Use::release) {
+            const bool done = head.status / 100 == 2;
+            return all_.released(*this, done ? ReleaseEnd::acknowledged : ReleaseEnd::refused);
+        }
         Outcome outcome;
         if (stream)
             outcome.ending = Ending::settled;
@@ -210,7 +235,7 @@
     std::string piece_, body_;
     int interim_ = 0;
     bool reading_ = false, kept_ = false, begun_ = false, held_back_ = false, reusable_ = false;
-    Instant rested_;
+    Instant rested_, answer_began_;  // answer_began_ zero: nothing has come yet
 
   public:
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
@@ -345,7 +370,7 @@
     std::unique_ptr<Connection> buried = std::move(held->second);
     connections_.erase(held);
     *connection.alive_ = false;
-    if (connection.use() == Connection::Use::release) released(connection, false);
+    if (connection.use() == Connection::Use::release) released(connection, ReleaseEnd::lost);
     if (reset)
         Stream::reset(loop_, connection.take_stream());
     else
@@ -433,15 +458,26 @@
     drop(connection, true);
 }
 
-void UpstreamPool::released(Connection& connection, bool answered) {
+void UpstreamPool::released(Connection& connection, ReleaseEnd end) {
     const ReleaseCallId call = connection.release_call();
     const bool known = release_calls_.erase(call) > 0;
-    if (answered) rest(connection);
-    if (known) releases_.call_ended(call, answered);
+    if (end != ReleaseEnd::lost) rest(connection);
+    if (known) releases_.call_ended(call, end == ReleaseEnd::acknowledged);
+}
+
+void UpstreamPool::drop_incomplete_answers() {
+    const Span within = owner_.guard().answer_completion_time();
+    if (within.us <= 0) return;
+    std::vector<Connection*> incomplete;
+    for (const auto& [launch, connection] : out_) {
+        if (connection->is_incomplete(within)) incomplete.push_back(connection);
+    }
+    for (Connection* connection : incomplete) connection->end_incomplete();
 }
 
 void UpstreamPool::look() {
     const Instant now = loop_.now();
+    drop_incomplete_answers();
     releases_.look();
     for (Upstream& upstream : upstreams_)
         while (!upstream.idle.empty() && now - upstream.idle.front()->rested() >= bounds_.idle)
--- a/src/node/upstream_pool.h
+++ b/src/node/upstream_pool.h
@@ -39,10 +39,12 @@
         // Asked right before its first byte is written, with the time that its server is told. It is dropped
         // where that is denied.
         virtual Denial may_write(LaunchId launch, Span told) = 0;
-        // What is under way for the request with this id.
-        virtual ReleasePool::Use use_of(const std::string& id) const = 0;
-        virtual void release_over(const std::string& id, bool answered, Instant held_since) = 0;
+        // A part of its answer has come, which need not be an event.
+        virtual void answer_began(LaunchId launch) = 0;
+        virtual void release_answered(const std::string& id, const HoldLedger::ReleaseResult& result) = 0;
+        virtual void release_given_up(const std::string& id, const HoldLedger::ReleaseResult& result) = 0;
         virtual SendGuard& guard() = 0;
+        virtual HoldLedger& ledger() = 0;
     };
 
     UpstreamPool(Loop& loop, const Bounds& bounds, Owner& owner);
@@ -71,13 +73,9 @@
     void hold_back(LaunchId launch, bool hold);
     // Told to the server that may hold something of the query; where that can't be reached, to another one,
     // as each lets go at all of them.
-    void release(ServerIndex server, const std::string& id, const ReleaseOrder& order) {
-        releases_.order(server, id, order);
-    }
-    // A server has answered an attempt of this request.
-    void renew_releases(const std::string& id) { releases_.renew(id); }
+    void release(const ReleaseOrder& order) { releases_.order(order); }
     std::size_t owed() const { return releases_.owed(); }
-    std::size_t late_reads() const { return releases_.late_reads(); }
+    const LateAttempts& late_attempts() const { return releases_.late_attempts(); }
     const Releases::Counts& release_counts() const { return releases_.counts(); }
 
     std::size_t size() const { return connections_.size(); }
@@ -116,7 +114,13 @@
     void lost(Connection& connection, Loss loss, const std::string& what);
     void not_awaited(LaunchId launch);
     void rest(Connection& connection);
-    void released(Connection& connection, bool answered);
+    enum class ReleaseEnd {
+        acknowledged,
+        refused,  // answered, and not done
+        lost,
+    };
+    void released(Connection& connection, ReleaseEnd end);
+    void drop_incomplete_answers();
     void look();
 
     std::size_t server_count() const override { return upstreams_.size(); }
@@ -125,11 +129,14 @@
     bool may_hang(ServerIndex server) const override;
     ReleaseCallId start_release(ServerIndex server, const std::string& id) override;
     void cancel_release(ReleaseCallId call) override;
-    Use use_of(const std::string& id) const override { return owner_.use_of(id); }
-    void release_over(const std::string& id, bool answered, Instant held_since) override {
-        owner_.release_over(id, answered, held_since);
+    void release_answered(const std::string& id, const HoldLedger::ReleaseResult& result) override {
+        owner_.release_answered(id, result);
+    }
+    void release_given_up(const std::string& id, const HoldLedger::ReleaseResult& result) override {
+        owner_.release_given_up(id, result);
     }
     SendGuard& guard() override { return owner_.guard(); }
+    HoldLedger& ledger() override { return owner_.ledger(); }
 
     Loop& loop_;
     Bounds bounds_;
--- a/tests/core/send_guard_test.cpp
+++ b/tests/core/send_guard_test.cpp
@@ -58,20 +58,47 @@
     EXPECT_EQ(guard.may_write({false, kNow + ms(1), kNow}), Denial::write_window_over);
 }
 
+constexpr RequestKey kRequest = 1;
+
+HoldLedger ledger_with_state() {
+    HoldLedger ledger(ms(1000));
+    ledger.attempt_started(kRequest, 1, 0, true, kNow);
+    ledger.attempt_over(kRequest, 1, Ending::read, kNow);
+    ledger.want_release(kRequest, 1);
+    return ledger;
+}
+
 TEST(SendGuardRelease, WaitsForAnAttemptInFlightOnlyToTheEndOfTheLease) {
     SendGuard guard(ms(1000));
-    const Instant end = guard.state_lease_end(kNow);
+    HoldLedger ledger = ledger_with_state();
+    EXPECT_EQ(guard.may_release(ledger, kRequest, kNow), Denial::none);
+    ledger.attempt_started(kRequest, 2, 1, false, kNow);
+    const Instant end = ledger.lease_end(kRequest);
     EXPECT_GT(end, kNow + ms(500));
     EXPECT_LT(end, kNow + ms(1000));
-    EXPECT_EQ(guard.may_release({true, false, end + ms(-1), end}), Denial::may_take_newer_state);
-    EXPECT_EQ(guard.may_release({true, false, end, end}), Denial::none);
-    EXPECT_EQ(guard.may_release({false, false, kNow, end}), Denial::none);
+    EXPECT_EQ(guard.may_release(ledger, kRequest, end + ms(-1)), Denial::may_take_newer_state);
+    EXPECT_EQ(guard.may_release(ledger, kRequest, end), Denial::none);
 }
 
 // Its server runs and has taken the state, so no clock runs.
 TEST(SendGuardRelease, WaitsForAStreamThatHasBegun) {
     SendGuard guard(ms(1000));
-    EXPECT_EQ(guard.may_release({true, true, kNow + ms(60000), kNow}), Denial::may_take_newer_state);
+    HoldLedger ledger = ledger_with_state();
+    ledger.attempt_started(kRequest, 2, 1, true, kNow);
+    ledger.attempt_over(kRequest, 2, Ending::broken, kNow);
+    ledger.attempt_started(kRequest, 3, 1, false, kNow);
+    ledger.stream_began(kRequest, 3, kNow);
+    EXPECT_EQ(guard.may_release(ledger, kRequest, kNow + ms(60000)), Denial::may_take_newer_state);
+}
+
+TEST(SendGuardRelease, DoesNotOvertakeAClose) {
+    SendGuard guard(ms(1000));
+    HoldLedger ledger = ledger_with_state();
+    ledger.attempt_started(kRequest, 2, 1, false, kNow);
+    ledger.attempt_over(kRequest, 2, Ending::retracted, kNow);
+    EXPECT_EQ(guard.may_release(ledger, kRequest, kNow), Denial::close_not_arrived);
+    EXPECT_EQ(guard.may_release(ledger, kRequest, kNow + SendGuard::close_travel_time()), Denial::none);
+    EXPECT_EQ(guard.may_release(ledger, kRequest + 1, kNow), Denial::nothing_held);
 }
 
 TEST(SendGuardReuse, WantsAQuietConnectionThatHasRested) {
--- a/tests/day/sabotaged_gateway.cpp
+++ b/tests/day/sabotaged_gateway.cpp
@@ -32,9 +32,9 @@
     }
     void call_off(LaunchId launch, ServerIndex at) override { real_.call_off(launch, at); }
     bool unsend(LaunchId launch, ServerIndex at) override { return real_.unsend(launch, at); }
-    void release(ServerIndex at, LaunchId state, Instant held_since) override {
+    void release(ServerIndex at, LaunchId state) override {
         if (kind_ == "pinned") return;
-        real_.release(at, state, held_since);
+        real_.release(at, state);
     }
     void probe(ServerIndex server) override { real_.probe(server); }
     void subscribe() override { real_.subscribe(); }
--- a/tests/desk/fake_outside.h
+++ b/tests/desk/fake_outside.h
@@ -40,7 +40,7 @@
     }
     void call_off(LaunchId l, ServerIndex) override { called_off.push_back(l); }
     bool unsend(LaunchId l, ServerIndex) override { return unsent.count(l) > 0; }
-    void release(ServerIndex at, LaunchId state, Instant) override { released.emplace_back(at, state); }
+    void release(ServerIndex at, LaunchId state) override { released.emplace_back(at, state); }
     void probe(ServerIndex) override { ++probes; }
     void subscribe() override {}
     void tell_peers(std::string_view) override { ++notes; }
--- a/tests/desk/play_test.cpp
+++ b/tests/desk/play_test.cpp
@@ -153,7 +153,7 @@
             for (auto& [key, s] : states)
                 if (s.asked == n) s.free_since = clock;
     }
-    void release(ServerIndex at, LaunchId state, Instant) override { states.erase({at, state}); }
+    void release(ServerIndex at, LaunchId state) override { states.erase({at, state}); }
     void probe(ServerIndex server) override {
         ++probes;
         asked_of.push_back(server);
--- a/tests/node/fleet_test.cpp
+++ b/tests/node/fleet_test.cpp
@@ -206,9 +206,12 @@
         void events_came(LaunchId, std::string_view, std::size_t) override {}
         SendGuard send_guard{Span{1000000}};
         Denial may_write(LaunchId, Span) override { return Denial::none; }
-        ReleasePool::Use use_of(const std::string&) const override { return {}; }
-        void release_over(const std::string&, bool, Instant) override {}
+        HoldLedger hold_ledger{Span{1000000}};
+        void answer_began(LaunchId) override {}
+        void release_answered(const std::string&, const HoldLedger::ReleaseResult&) override {}
+        void release_given_up(const std::string&, const HoldLedger::ReleaseResult&) override {}
         SendGuard& guard() override { return send_guard; }
+        HoldLedger& ledger() override { return hold_ledger; }
     } owner;
     struct Taker : Stream::Owner {
         std::string heard;
--- a/tests/node/release_test.cpp
+++ b/tests/node/release_test.cpp
@@ -169,7 +169,7 @@
         "nothing is followed any more",
         [&] {
             w.answer_releases(w.prefill, at_prefill);
-            return w.node->upstreams().late_reads() == 0;
+            return w.node->upstreams().late_attempts().size() == 0;
         },
         ms(3000));
 }
