--- a/src/cli/soak_command.cpp
+++ b/src/cli/soak_command.cpp
@@ -18,6 +18,9 @@
 
 using FaultsMet = std::map<std::string, std::size_t>;
 
+// A fake model server takes calls and says nothing for so long after SIGUSR1.
+constexpr Span kSilentFor{1500000};
+
 // Every call that the shim can make fail; a run in which one never did shows nothing of it.
 constexpr const char* kShimmedCalls[] = {"accept4", "socket", "connect",    "readv",     "writev",
                                          "recv",    "poll",   "epoll_wait", "setsockopt"};
@@ -67,7 +70,8 @@
 int run_model_server(const soak::ModelServerOptions& options) {
     try {
         Loop loop;
-        const soak::ModelServer server(loop, options);
+        soak::ModelServer server(loop, options);
+        loop.on_signal(SIGUSR1, [&] { server.fall_silent(kSilentFor); });
         for (const int signal : {SIGTERM, SIGINT}) loop.on_signal(signal, [&] { loop.stop(); });
         std::printf("ready %s\n", server.address().text().c_str());
         std::fflush(stdout);
--- a/src/core/hold_ledger.cpp
+++ b/src/core/hold_ledger.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "sabotage.h"
 #include "send_guard.h"
 
 namespace copperfront {
@@ -187,10 +188,12 @@
     const bool all_wanted = std::all_of(request->entries.begin(), request->entries.end(),
                                         [](const Entry& entry) { return entry.wanted; });
     if (!request->out.empty() || !all_wanted) {
-        const bool leased = request->lease_released || !has_lease() || now < lease_end(key);
+        const bool leased = request->lease_released || !has_lease() || now < lease_end(key) ||
+                            is_sabotaged(Sabotage::lease_never_ends);
         return leased ? Need::not_yet : Need::due;
     }
-    if (now < request->quiet_from) return Need::close_sent;
+    const bool overtakes = is_sabotaged(Sabotage::release_overtakes_close);
+    if (now < request->quiet_from && !overtakes) return Need::close_sent;
     return now < request->not_before ? Need::not_yet : Need::due;
 }
 
@@ -208,19 +211,21 @@
     }
     // At any time between its writing and its answer.
     const bool attempt_was_out =
-        !request->out.empty() || written < request->quiet_from || written < request->last_over;
+        (!request->out.empty() || written < request->quiet_from || written < request->last_over) &&
+        !is_sabotaged(Sabotage::release_counts_while_waiting);
     result.held_since = request->lease_since;
     if (attempt_was_out) {
         note(*request, now, Event::Kind::release_proves_nothing, by);
         request->unusual = true;
         if (request->lease_released || written < lease_end(key)) return result;
         request->lease_released = true;
+        if (is_sabotaged(Sabotage::lease_release_ends_hold)) request->entries.clear();
         result.proof = Proof::lease_only;
         if (now - result.held_since > release_within_) result.history = history(key);
         return result;
     }
     note(*request, now, Event::Kind::release_answered, by);
-    if (request->once_more) {
+    if (request->once_more && !is_sabotaged(Sabotage::release_told_once)) {
         request->once_more = false;
         request->not_before = now + kOnceMoreAfter;
         request->lease_since = now;
--- /dev/null
+++ b/src/core/sabotage.h
@@ -0,0 +1,60 @@
+// Faults put into the program on purpose, to see that its tests find them. Only a build with
+// COPPERFRONT_SABOTAGE has them, and each only where the environment names it; in any other build nothing of
+// this is left.
+#pragma once
+
+#ifdef COPPERFRONT_SABOTAGE
+#include <cstdlib>
+#include <string_view>
+#endif
+
+namespace copperfront {
+
+enum class Sabotage {
+    release_told_once,             // not again after an attempt that was not heard to end
+    release_counts_while_waiting,  // though an attempt was out
+    lease_never_ends,
+    lease_release_ends_hold,  // the release at the lease's end is the last one
+    release_overtakes_close,
+    release_lost,
+    refused_release_counts,
+    late_attempts_not_followed,
+    incomplete_answer_waits,
+    retry_after_may_have_run,
+    attempt_after_client_left,
+    deadline_overstated,
+    drain_ignored,
+    silent_watch_trusted,
+    exit_with_work_left,
+    late_requests_taken,  // after SIGTERM
+    stale_connection_reused,
+};
+
+#ifdef COPPERFRONT_SABOTAGE
+inline constexpr const char* kSabotageNames[] = {"release_told_once",
+                                                 "release_counts_while_waiting",
+                                                 "lease_never_ends",
+                                                 "lease_release_ends_hold",
+                                                 "release_overtakes_close",
+                                                 "release_lost",
+                                                 "refused_release_counts",
+                                                 "late_attempts_not_followed",
+                                                 "incomplete_answer_waits",
+                                                 "retry_after_may_have_run",
+                                                 "attempt_after_client_left",
+                                                 "deadline_overstated",
+                                                 "drain_ignored",
+                                                 "silent_watch_trusted",
+                                                 "exit_with_work_left",
+                                                 "late_requests_taken",
+                                                 "stale_connection_reused"};
+
+inline bool is_sabotaged(Sabotage fault) {
+    static const char* const chosen = std::getenv("COPPERFRONT_SABOTAGE_FAULT");
+    return chosen != nullptr && std::string_view(chosen) == kSabotageNames[static_cast<int>(fault)];
+}
+#else
+constexpr bool is_sabotaged(Sabotage) { return false; }
+#endif
+
+}  // namespace copperfront
--- a/src/core/send_guard.cpp
+++ b/src/core/send_guard.cpp
@@ -2,6 +2,8 @@
 
 #include <numeric>
 
+#include "sabotage.h"
+
 namespace copperfront {
 namespace {
 
@@ -89,7 +91,8 @@
 }
 
 Denial SendGuard::may_write(const AttemptWrite& facts) {
-    if (facts.client_gone) return count(Denial::client_gone);
+    const bool client_gone = facts.client_gone && !is_sabotaged(Sabotage::attempt_after_client_left);
+    if (client_gone) return count(Denial::client_gone);
     if (!check_effect(facts.effect, facts.may_have_run)) return count(Denial::effect_may_have_happened);
     if (facts.now > facts.write_by) return count(Denial::write_window_over);
     return Denial::none;
@@ -111,9 +114,12 @@
     return count(Denial::nothing_held);
 }
 
-Span SendGuard::answer_completion_time() const { return release_within_ * kAnswerCompletionPart; }
+Span SendGuard::answer_completion_time() const {
+    return is_sabotaged(Sabotage::incomplete_answer_waits) ? Span{} : release_within_ * kAnswerCompletionPart;
+}
 
 Denial SendGuard::may_reuse(const PooledConnection& facts) {
+    if (is_sabotaged(Sabotage::stale_connection_reused)) return Denial::none;
     return facts.quiet && facts.rested >= kRestBeforeReuse ? Denial::none : count(Denial::connection_unsafe);
 }
 
@@ -122,6 +128,7 @@
 }
 
 Denial SendGuard::may_accept(bool shutting_down, Span since_asked) {
+    if (is_sabotaged(Sabotage::late_requests_taken)) return Denial::none;
     return shutting_down && since_asked >= kStillAccepting ? count(Denial::shutting_down) : Denial::none;
 }
 
@@ -130,6 +137,7 @@
 }
 
 Denial SendGuard::may_exit(const Shutdown& facts) {
+    if (is_sabotaged(Sabotage::exit_with_work_left)) return Denial::none;
     if (facts.listening) return count(Denial::still_accepting);
     const bool idle =
         facts.requests == 0 && facts.attempts == 0 && facts.releases == 0 && facts.unsent_answers == 0;
--- a/src/desk/desk_attempts.cpp
+++ b/src/desk/desk_attempts.cpp
@@ -1,6 +1,7 @@
 // Attempts of a request from their start to their end, and what is held for it meanwhile.
 #include <algorithm>
 
+#include "core/sabotage.h"
 #include "desk/desk.h"
 #include "desk/desk_turn.h"
 
@@ -276,6 +277,9 @@
     --ticket.out;
     ++tally_.endings[static_cast<std::size_t>(outcome.ending)];
     outcome.took = outside_.now() - l.sent;
+    if (is_sabotaged(Sabotage::retry_after_may_have_run) && !l.reading && outcome.ending == Ending::broken) {
+        outcome.ending = Ending::unreachable;
+    }
     const QueryIndex asked = face(l.query);
     if (witness_) witness_->launch_over(asked, id, l.server, outcome.ending, outcome.took, why);
     outcome.over = ticket.ended || ticket.done;
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/clock.h"
 #include "core/units.h"
 
 struct event;
@@ -22,16 +23,16 @@
     virtual bool is_owed() const { return false; }
 };
 
-class Loop {
+class Loop : public Clock {
   public:
     Loop();
-    ~Loop();
+    ~Loop() override;
     Loop(const Loop&) = delete;
     Loop& operator=(const Loop&) = delete;
 
     // Microseconds since 1970, read once at start and carried on by the steady clock, so that it never goes
     // back and is near enough to other machines' clocks to compare the start of a server with.
-    Instant now() const;
+    Instant now() const override;
 
     void run();
     void stop();
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/sabotage.h"
 #include "http/message.h"
 #include "net/stream.h"
 
@@ -43,6 +44,7 @@
         begin_answer();
         stream_->send("GET " + target + " HTTP/1.1\r\nHost: discovery\r\n\r\n");
         patience_.set(within);
+        if (is_sabotaged(Sabotage::silent_watch_trusted)) patience_.off();
     }
     void end() {
         patience_.off();
--- a/src/node/late_attempts.cpp
+++ b/src/node/late_attempts.cpp
@@ -22,9 +22,9 @@
     }
     Attempt made;
     made.what = attempt;
-    made.until = loop_.now() + kFollowedAtMost;
-    made.next_at = loop_.now();
-    made.other_at = loop_.now() + kNextReleaseAfter;
+    made.until = clock_.now() + kFollowedAtMost;
+    made.next_at = clock_.now();
+    made.other_at = clock_.now() + kNextReleaseAfter;
     attempts_.push_back(std::move(made));
 }
 
@@ -36,7 +36,7 @@
 
 bool LateAttempts::is_over(const Attempt& attempt) const {
     const std::uint32_t most = attempt.what.prefill ? kMostAnswersOfPrefill : kMostAnswersOfHandOver;
-    return attempt.answered >= most || loop_.now() > attempt.until ||
+    return attempt.answered >= most || clock_.now() > attempt.until ||
            !pool_.is_reachable(attempt.what.server);
 }
 
@@ -45,7 +45,7 @@
 }
 
 void LateAttempts::ask_its_server(Attempt& attempt) {
-    const Instant now = loop_.now();
+    const Instant now = clock_.now();
     if (attempt.call != 0 && now - attempt.asked_at >= kFollowedAnswerWithin) cancel(attempt.call);
     if (attempt.call != 0 || now < attempt.next_at || server_is_being_asked(attempt.what.server)) return;
     attempt.call = pool_.start_release(attempt.what.server, attempt.what.id);
@@ -65,13 +65,13 @@
 }
 
 void LateAttempts::tell_another(Attempt& attempt) {
-    if (attempt.answered > 0 || loop_.now() < attempt.other_at) return;
+    if (clock_.now() < attempt.other_at) return;
     cancel(attempt.other_call);
     ServerIndex other = 0;
     if (find_another(attempt.what.server, other)) {
         attempt.other_call = pool_.start_release(other, attempt.what.id);
     }
-    attempt.other_at = loop_.now() + kNextReleaseAfter;
+    attempt.other_at = clock_.now() + kNextReleaseAfter;
 }
 
 void LateAttempts::look() {
@@ -103,11 +103,13 @@
     }
     mine->call = 0;
     if (!answered) {
-        mine->next_at = loop_.now() + kAskAgainAfter;
+        mine->next_at = clock_.now() + kAskAgainAfter;
         return true;
     }
-    mine->next_at = loop_.now() + (mine->answered == 0 ? kFirstReleaseAfter : kNextReleaseAfter);
+    mine->next_at = clock_.now() + (mine->answered == 0 ? kFirstReleaseAfter : kNextReleaseAfter);
     ++mine->answered;
+    // Another one only if it hangs again.
+    mine->other_at = clock_.now() + kNextReleaseAfter;
     return true;
 }
 
--- a/src/node/late_attempts.h
+++ b/src/node/late_attempts.h
@@ -9,16 +9,16 @@
 #include <string>
 #include <vector>
 
+#include "core/clock.h"
 #include "core/hold_ledger.h"
 #include "core/rules.h"
-#include "net/loop.h"
 #include "node/release_pool.h"
 
 namespace copperfront {
 
 class LateAttempts {
   public:
-    LateAttempts(Loop& loop, ReleasePool& pool) : loop_(loop), pool_(pool) {}
+    LateAttempts(const Clock& clock, ReleasePool& pool) : clock_(clock), pool_(pool) {}
 
     struct Followed {
         ServerIndex server = 0;
@@ -51,7 +51,7 @@
     bool is_over(const Attempt& attempt) const;
     bool server_is_being_asked(ServerIndex server) const;
 
-    Loop& loop_;
+    const Clock& clock_;
     ReleasePool& pool_;
     std::vector<Attempt> attempts_;
     std::uint64_t overflows_ = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "core/sabotage.h"
 #include "http/forwarding.h"
 
 namespace copperfront {
@@ -393,6 +394,8 @@
             l.born = started;
         }
         l.standing = e.standing;
+        if (l.standing == Standing::draining && is_sabotaged(Sabotage::drain_ignored))
+            l.standing = Standing::ready;
         Known& mine = known_[l.server];
         mine.listing = l;
         mine.born = l.born;
--- a/src/node/release_pool.h
+++ b/src/node/release_pool.h
@@ -24,6 +24,8 @@
     virtual Instant last_heard(ServerIndex server) const = 0;
     // It leaves something unanswered for so long that it may hang.
     virtual bool may_hang(ServerIndex server) const = 0;
+    // Until when it had left something unanswered for so long that it may have hung; zero: it never has.
+    virtual Instant hung_until(ServerIndex server) const = 0;
     // 0: no connection is to be had now. `call_ended` follows otherwise, never from within this call.
     virtual ReleaseCallId start_release(ServerIndex server, const std::string& id) = 0;
     virtual void cancel_release(ReleaseCallId call) = 0;
--- a/src/node/releases.cpp
+++ b/src/node/releases.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/sabotage.h"
+
 namespace copperfront {
 
 using namespace release_policy;
@@ -15,6 +17,7 @@
 }
 
 void Releases::order(const ReleaseOrder& order) {
+    if (is_sabotaged(Sabotage::release_lost)) return;
     Release* release = find(order.key);
     if (release == nullptr) {
         owed_.push_back(std::make_unique<Release>());
@@ -26,7 +29,7 @@
     start_over(*release);
     release->server = order.server;
     if (order.unheard) release->told.insert(order.server);
-    if (order.may_be_followed) release->not_before = loop_.now() + kBeforeFollowing;
+    if (order.may_be_followed) release->not_before = clock_.now() + kBeforeFollowing;
     go_on(*release);
 }
 
@@ -35,7 +38,7 @@
     release.tries = 0;
     release.calls_of_round = 1;
     release.next_call_at = {};
-    release.give_up_at = loop_.now() + kGiveUpAfter;
+    release.give_up_at = clock_.now() + kGiveUpAfter;
 }
 
 bool Releases::next_server(Release& release, ServerIndex& server) const {
@@ -62,7 +65,7 @@
 }
 
 void Releases::go_on(Release& release) {
-    const Instant now = loop_.now();
+    const Instant now = clock_.now();
     if (release.over || now < release.not_before || now < release.next_call_at) return;
     switch (pool_.guard().may_release(pool_.ledger(), release.key, now)) {
         case Denial::none:
@@ -90,7 +93,7 @@
         if (!tell_next_server(release)) break;
     }
     release.calls_of_round *= 2;
-    release.next_call_at = loop_.now() + (slow ? kNextSlowRoundAfter : kNextRoundAfter);
+    release.next_call_at = clock_.now() + (slow ? kNextSlowRoundAfter : kNextRoundAfter);
 }
 
 bool Releases::tell_next_server(Release& release) {
@@ -99,10 +102,10 @@
     const ReleaseCallId call = pool_.start_release(server, release.id);
     // No connection is to be had; it is looked at again soon.
     if (call == 0) return false;
-    pool_.ledger().release_written(release.key, server, loop_.now());
+    pool_.ledger().release_written(release.key, server, clock_.now());
     if (release.tries++ > 0) ++counts_.repeated;
     release.told.insert(server);
-    release.calls.push_back({call, server, loop_.now()});
+    release.calls.push_back({call, server, clock_.now()});
     return true;
 }
 
@@ -115,14 +118,14 @@
         const Call ended = *mine;
         release->calls.erase(mine);
         if (answered_well) return answered(*release, ended);
-        if (release->tries < kManyTries) release->next_call_at = loop_.now();
+        if (release->tries < kManyTries) release->next_call_at = clock_.now();
         return;
     }
 }
 
 void Releases::answered(Release& release, const Call& call) {
     const HoldLedger::ReleaseResult result =
-        pool_.ledger().release_answered(release.key, call.server, call.written, loop_.now());
+        pool_.ledger().release_answered(release.key, call.server, call.written, clock_.now());
     switch (result.proof) {
         case HoldLedger::Proof::nothing:
             return;
@@ -146,16 +149,19 @@
 void Releases::finish(Release& release, const HoldLedger::ReleaseResult& result) {
     release.over = true;
     cancel_calls(release);
+    if (is_sabotaged(Sabotage::late_attempts_not_followed)) return;
     for (const HoldLedger::UnheardAttempt& attempt : result.unheard) {
+        // It hangs, or did when the attempt ended and may still be busy with what it had in hand then.
         const bool silent_since = pool_.last_heard(attempt.server) <= attempt.over_at;
-        if (silent_since && pool_.is_reachable(attempt.server)) {
+        const bool has_hung = pool_.hung_until(attempt.server) > attempt.over_at;
+        if ((silent_since || has_hung) && pool_.is_reachable(attempt.server)) {
             late_attempts_.follow({attempt.server, release.key, release.id, attempt.prefill});
         }
     }
 }
 
 void Releases::drop_late_calls(Release& release) {
-    const Instant now = loop_.now();
+    const Instant now = clock_.now();
     for (std::size_t n = 0; n < release.calls.size();) {
         if (now - release.calls[n].written < kAnswerWithin) {
             ++n;
--- a/src/node/releases.h
+++ b/src/node/releases.h
@@ -11,10 +11,10 @@
 #include <string>
 #include <vector>
 
+#include "core/clock.h"
 #include "core/hold_ledger.h"
 #include "core/release_policy.h"
 #include "core/rules.h"
-#include "net/loop.h"
 #include "node/late_attempts.h"
 #include "node/release_pool.h"
 
@@ -36,7 +36,8 @@
         std::uint64_t ordered = 0, repeated = 0, lost = 0;
     };
 
-    Releases(Loop& loop, ReleasePool& pool) : loop_(loop), pool_(pool), late_attempts_(loop, pool) {}
+    Releases(const Clock& clock, ReleasePool& pool)
+        : clock_(clock), pool_(pool), late_attempts_(clock, pool) {}
 
     void order(const ReleaseOrder& order);
     void call_ended(ReleaseCallId call, bool answered);
@@ -79,7 +80,7 @@
     // False: there is no server to tell.
     bool next_server(Release& release, ServerIndex& server) const;
 
-    Loop& loop_;
+    const Clock& clock_;
     ReleasePool& pool_;
     LateAttempts late_attempts_;
     std::deque<std::unique_ptr<Release>> owed_;
--- a/src/node/upstream_pool.cpp
+++ b/src/node/upstream_pool.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/release_policy.h"
+#include "core/sabotage.h"
 
 namespace copperfront {
 namespace {
@@ -12,6 +13,7 @@
 constexpr std::size_t kHeldBytes = 64 << 10;  // of a stream whose events wait
 constexpr int kMostInterim = 100;             // 1xx answers ahead of one
 constexpr Span kLookEvery{50000};
+constexpr Span kOverstatedBy{500000};  // where that is sabotaged
 constexpr Span kLookWhileOwed{20000};  // while releases are owed
 
 }  // namespace
@@ -72,8 +74,7 @@
 
     void stream_made(Stream&) override { write(); }
     void bytes_came(Stream&) override {
-        all_.upstreams_[server_].heard = all_.loop_.now();
-        all_.upstreams_[server_].unanswered_since = {};
+        all_.heard_from(server_);
         // Against a second answer that comes late: the next request would take it for its own.
         if (use_ == Use::none) return all_.drop(*this, false);
         if (use_ == Use::launch && answer_began_.us == 0) {
@@ -125,7 +126,8 @@
         if (Instant& since = all_.upstreams_[server_].unanswered_since; since.us == 0)
             since = all_.loop_.now();
         if (use_ == Use::release) return stream_->send(call.before);
-        const Span left = call.until - all_.loop_.now();
+        Span left = call.until - all_.loop_.now();
+        if (is_sabotaged(Sabotage::deadline_overstated)) left = left + kOverstatedBy;
         switch (const Denial denial = all_.owner_.may_write(launch_, left)) {
             case Denial::none:
                 break;
@@ -211,7 +213,7 @@
         const bool stream = events_ != nullptr;
         const std::string body = std::exchange(body_, {});
         if (use_ == Use::release) {
-            const bool done = head.status / 100 == 2;
+            const bool done = head.status / 100 == 2 || is_sabotaged(Sabotage::refused_release_counts);
             return all_.released(*this, done ? ReleaseEnd::acknowledged : ReleaseEnd::refused);
         }
         Outcome outcome;
@@ -439,6 +441,13 @@
     return since.us != 0 && loop_.now() - since >= release_policy::kMayHangAfter;
 }
 
+void UpstreamPool::heard_from(ServerIndex server) {
+    Upstream& upstream = upstreams_[server];
+    if (may_hang(server)) upstream.hung_until = loop_.now();
+    upstream.heard = loop_.now();
+    upstream.unanswered_since = {};
+}
+
 ReleaseCallId UpstreamPool::start_release(ServerIndex server, const std::string& id) {
     // Not over the part of the descriptors that is the servers'.
     if (upstreams_[server].idle.empty() && connections_.size() >= bounds_.connections && !make_room())
--- a/src/node/upstream_pool.h
+++ b/src/node/upstream_pool.h
@@ -99,7 +99,9 @@
         std::size_t connections = 0;
         Instant heard;             // when anything last came from it
         Instant unanswered_since;  // of the earliest message written since then; zero: none
+        Instant hung_until;
     };
+    void heard_from(ServerIndex server);
     Connection* connection_to(ServerIndex server);
     Connection* take_idle(Upstream& upstream);
     void drop(Connection& connection, bool reset);
@@ -127,6 +129,7 @@
     bool is_reachable(ServerIndex server) const override;
     Instant last_heard(ServerIndex server) const override { return upstreams_[server].heard; }
     bool may_hang(ServerIndex server) const override;
+    Instant hung_until(ServerIndex server) const override { return upstreams_[server].hung_until; }
     ReleaseCallId start_release(ServerIndex server, const std::string& id) override;
     void cancel_release(ReleaseCallId call) override;
     void release_answered(const std::string& id, const HoldLedger::ReleaseResult& result) override {
--- a/src/soak/fleet.cpp
+++ b/src/soak/fleet.cpp
@@ -254,6 +254,15 @@
     mine.kill_later->set(kKillAfter);
 }
 
+void Fleet::signal_series(std::size_t gateway) {
+    Gateway& mine = *gateways_[gateway];
+    if (!mine.ready || mine.terminated) return;
+    reload_gateway(gateway);
+    restart_gateway(gateway);
+    signal(mine.name, SIGTERM);
+    reload_gateway(gateway);
+}
+
 void Fleet::crash_gateway(std::size_t gateway) {
     Gateway& mine = *gateways_[gateway];
     if (!mine.ready || mine.terminated) return;
@@ -381,6 +390,10 @@
     after(span, [this, server] { servers_[server]->proxy->cut_off(false); });
 }
 
+void Fleet::mute_server(std::size_t server) {
+    if (servers_[server]->ready) signal(servers_[server]->name, SIGUSR1);
+}
+
 void Fleet::silence_connections(std::size_t server, double share) { servers_[server]->proxy->silence(share); }
 
 void Fleet::reset_connections(std::size_t server, double share) { servers_[server]->proxy->reset(share); }
--- a/src/soak/fleet.h
+++ b/src/soak/fleet.h
@@ -53,6 +53,8 @@
     void reload_gateway(std::size_t gateway);
     // The process stands still.
     void pause_gateway(std::size_t gateway, Span span);
+    // Reloads and shutdowns asked for in one moment, more than once each.
+    void signal_series(std::size_t gateway);
     void stop_all_gateways();
 
     // ---- faults of model servers and the network
@@ -63,6 +65,8 @@
     // Out of service for a while, as discovery tells.
     void drain_server(std::size_t server, Span span);
     void cut_off_server(std::size_t server, Span span);
+    // It runs, takes calls and says nothing of them for a while.
+    void mute_server(std::size_t server);
     void silence_connections(std::size_t server, double share);
     void reset_connections(std::size_t server, double share);
     void slow_connections(std::size_t server, Span delay, Span span);
--- a/src/soak/judge.cpp
+++ b/src/soak/judge.cpp
@@ -18,6 +18,8 @@
 constexpr Microseconds kToldSlack = 150 * kMs + kMachineSlack;
 constexpr Microseconds kStillAccepting = 700 * kMs;
 constexpr Microseconds kResetSeen = 3 * kMs;
+// For an error or a close to a client that has stopped in the middle of a request.
+constexpr Microseconds kStalledAtMost = 3000 * kMs + kMachineSlack;
 // A change of the list counts as told this long after discovery had it, whatever became of watches.
 constexpr Microseconds kToldWithin = 6000 * kMs;
 constexpr Microseconds kDrainGrace = 250 * kMs;
@@ -58,6 +60,7 @@
             check_told_deadlines(request, story);
             check_withdrawn(request, story);
         }
+        check_stalled_clients();
         check_gateways();
         return std::move(judgement_);
     }
@@ -337,6 +340,18 @@
         }
     }
 
+    // Unless the gateway has ended before: its end closes the connection too.
+    void check_stalled_clients() {
+        for (const StalledRecord& record : records_.stalled) {
+            const Microseconds latest = record.stopped + kStalledAtMost;
+            if (record.stopped == 0 || latest > records_.ended) continue;
+            if (record.ended == 0 || record.ended > latest) {
+                find("bad client", "n" + std::to_string(record.gateway),
+                     "one that stopped in the middle of a request got neither an error nor a close in time");
+            }
+        }
+    }
+
     void check_gateways() {
         for (const GatewayLife& life : records_.gateways) {
             const std::string name = "n" + std::to_string(life.gateway);
--- a/src/soak/load_client.cpp
+++ b/src/soak/load_client.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::int64_t kShortestDeadlineMs = 300, kLongestDeadlineMs = 3000;
+constexpr std::int64_t kLeastTimeMs = 10;
+constexpr int kLittleTimePercent = 5;
 constexpr std::int64_t kThinkMs = 150;
 // Past its deadline a request is waited for so long before it counts as never answered.
 constexpr std::int64_t kPatienceMs = 1500;
@@ -88,7 +90,9 @@
 
 std::string LoadClient::next_request(bool behind_another) {
     const ServiceClass& service = kClasses[between(0, std::size(kClasses) - 1)];
-    const std::int64_t deadline_ms = between(kShortestDeadlineMs, kLongestDeadlineMs);
+    const bool has_little_time = between(1, kPercent) <= kLittleTimePercent;
+    const std::int64_t deadline_ms = has_little_time ? between(kLeastTimeMs, kShortestDeadlineMs)
+                                                     : between(kShortestDeadlineMs, kLongestDeadlineMs);
     RequestRecord record;
     record.request = name_ + "x" + std::to_string(++sent_);
     record.effect = service.effect;
--- a/src/soak/model_server.cpp
+++ b/src/soak/model_server.cpp
@@ -97,6 +97,9 @@
     }
     bool meets_fault() { return std::uniform_real_distribution<double>(0, 1)(chance) < options.fault_share; }
     CallFault draw_call_fault() {
+        if (loop.now() < silent_until) {
+            return between(0, 1) == 0 ? CallFault::never_answered : CallFault::waits_without_end;
+        }
         return meets_fault() ? static_cast<CallFault>(between(1, kCallFaults - 1)) : CallFault::none;
     }
     ReleaseFault draw_release_fault() {
@@ -109,6 +112,7 @@
     std::minstd_rand chance;
     standin::FolderMarkStore marks;
     standin::HeldStates held_states;
+    Instant silent_until;
     int records = -1;
     // Not of an earlier process of the same name.
     std::uint64_t next_call = static_cast<std::uint64_t>(getpid()) << kCallBits;
@@ -357,6 +361,8 @@
 
 ModelServer::~ModelServer() = default;
 
+void ModelServer::fall_silent(Span span) { state_->silent_until = state_->loop.now() + span; }
+
 Address ModelServer::address() const { return state_->listener->address(); }
 
 }  // namespace copperfront::soak
--- a/src/soak/model_server.h
+++ b/src/soak/model_server.h
@@ -31,6 +31,8 @@
     ModelServer(const ModelServer&) = delete;
     ModelServer& operator=(const ModelServer&) = delete;
     Address address() const;
+    // For so long calls are taken, and nothing is said of any: hand-overs wait, prefills leave their state.
+    void fall_silent(Span span);
 
   private:
     class Connection;
--- a/src/soak/records.h
+++ b/src/soak/records.h
@@ -62,6 +62,13 @@
     bool spoilt = false;  // events lost, out of order, or of more than one attempt
 };
 
+// A client that stops in the middle of a request and stays.
+struct StalledRecord {
+    std::size_t gateway = 0;
+    std::uint32_t gateway_life = 0;
+    Microseconds stopped = 0, ended = 0;  // ended 0: it got neither an answer nor a close
+};
+
 // A span in which something was done to a process or to the way to it.
 struct FaultSpan {
     Microseconds from = 0, until = 0;
@@ -79,6 +86,7 @@
     std::vector<ServerRecord> servers;
     std::vector<RequestRecord> requests;
     std::vector<GatewayLife> gateways;
+    std::vector<StalledRecord> stalled;
     std::map<std::string, std::vector<FaultSpan>>
         server_faults;  // stopped, cut off or slow to reach, by server
     std::map<std::string, std::vector<Microseconds>> server_deaths;  // what a process held has gone with it
--- a/src/soak/soak_run.cpp
+++ b/src/soak/soak_run.cpp
@@ -9,6 +9,7 @@
 #include "net/loop.h"
 #include "soak/fleet.h"
 #include "soak/load_client.h"
+#include "soak/stalled_client.h"
 
 namespace copperfront::soak {
 namespace {
@@ -19,6 +20,7 @@
 constexpr Span kExitWithin = kMs * 5000;
 constexpr Span kLookEvery = kMs * 20;
 constexpr int kCrowdConnections = 300;
+constexpr int kStalledClients = 3;
 constexpr double kCrowdShare = 0.3;     // of the runs
 constexpr double kHungRoleShare = 0.8;  // of the servers of a role that hang together
 
@@ -47,8 +49,8 @@
 // Draws faults from the seed and does them, several at once.
 class FaultSchedule {
   public:
-    FaultSchedule(Loop& loop, Fleet& fleet, std::uint32_t seed)
-        : loop_(loop), fleet_(fleet), chance_(seed), next_(loop, [this] { strike(); }) {
+    FaultSchedule(Loop& loop, Fleet& fleet, Records& records, std::uint32_t seed)
+        : loop_(loop), fleet_(fleet), records_(records), chance_(seed), next_(loop, [this] { strike(); }) {
         has_crowd_ = std::uniform_real_distribution<double>(0, 1)(chance_) < kCrowdShare;
     }
     void start() { next_.set(kMs * 300); }
@@ -77,8 +79,12 @@
         reset_watches,
         move_discovery,
         crowd,
+        mute_server,
+        mute_role,
+        signal_series,
+        stalled_clients,
     };
-    static constexpr int kFaults = static_cast<int>(Fault::crowd) + 1;
+    static constexpr int kFaults = static_cast<int>(Fault::stalled_clients) + 1;
 
     std::int64_t between(std::int64_t least, std::int64_t most) {
         return std::uniform_int_distribution<std::int64_t>(least, most)(chance_);
@@ -138,6 +144,14 @@
                 return fleet_.move_discovery();
             case Fault::crowd:
                 return come_in_crowds();
+            case Fault::mute_server:
+                return fleet_.mute_server(any_server());
+            case Fault::mute_role:
+                return mute_role();
+            case Fault::signal_series:
+                return fleet_.signal_series(any_gateway());
+            case Fault::stalled_clients:
+                return come_and_stall();
         }
     }
 
@@ -153,6 +167,23 @@
         }
     }
 
+    // Most servers of a role take calls and say nothing.
+    void mute_role() {
+        const bool prefill = between(0, 2) == 0;
+        for (std::size_t server = 0; server < fleet_.server_count(); ++server) {
+            const bool chosen = std::uniform_real_distribution<double>(0, 1)(chance_) < kHungRoleShare;
+            if (fleet_.is_prefill(server) == prefill && chosen) fleet_.mute_server(server);
+        }
+    }
+
+    void come_and_stall() {
+        const std::size_t gateway = any_gateway();
+        if (!fleet_.takes_connections(gateway)) return;
+        for (int n = 0; n < kStalledClients; ++n) {
+            stalled_.push_back(std::make_unique<StalledClient>(loop_, fleet_, gateway, records_.stalled));
+        }
+    }
+
     void reload_series() {
         const std::size_t gateway = any_gateway();
         const std::int64_t times = between(1, 4);
@@ -168,9 +199,11 @@
 
     Loop& loop_;
     Fleet& fleet_;
+    Records& records_;
     std::minstd_rand chance_;
     bool has_crowd_ = false;
     std::unique_ptr<Crowd> crowd_;
+    std::vector<std::unique_ptr<StalledClient>> stalled_;
     Timer next_;
 };
 
@@ -260,7 +293,7 @@
                                              options.seed * 131 + static_cast<std::uint32_t>(n)));
             clients.back()->start();
         }
-        FaultSchedule faults(loop, fleet, options.seed);
+        FaultSchedule faults(loop, fleet, records, options.seed);
         faults.start();
         wait_for(
             loop, [] { return false; }, kMs * (options.seconds * 1000));
--- /dev/null
+++ b/src/soak/stalled_client.h
@@ -0,0 +1,33 @@
+// A client that sends a part of a request, stops there and stays. It is owed an error or a close.
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "net/loop.h"
+#include "net/stream.h"
+#include "soak/load_client.h"
+#include "soak/records.h"
+
+namespace copperfront::soak {
+
+class StalledClient : private Stream::Owner {
+  public:
+    // Connects at once. Its record is the next one of `records`.
+    StalledClient(Loop& loop, const GatewayDirectory& gateways, std::size_t gateway,
+                  std::vector<StalledRecord>& records);
+    ~StalledClient() override;
+
+  private:
+    void stream_made(Stream&) override;
+    void bytes_came(Stream& stream) override;
+    void stream_closed(Stream&, Closing why, const std::string& what) override;
+    void end();
+
+    Loop& loop_;
+    std::vector<StalledRecord>& records_;
+    const std::size_t record_;
+    std::unique_ptr<Stream> stream_;
+};
+
+}  // namespace copperfront::soak
--- a/tests/node/held_state_test.cpp
+++ b/tests/node/held_state_test.cpp
@@ -190,5 +190,41 @@
     w.expect_release_within(held_since);
 }
 
+// The connection on which it was answered is not kept, and new ones are closed by the server at once.
+TEST(HeldState, IsReleasedElsewhereWhileItsServerTakesNoFurtherConnection) {
+    HeldStateWorld w;
+    StalledReader unread;
+    w.platform.point("w1", unread.address());
+    w.platform.add("r2", Role::reader, "z", 1);
+    w.platform.set("r2", "draining");
+    w.wait_for_list();
+    auto client = w.client();
+    client->say(w.call(w.fresh(), "4000"));
+    const auto connection = w.wait_for_post(w.prefill, 1);
+    w.prefill.close_new_connections(true);
+    w.prefill.send(connection, response_of(202, "Connection: close\r\n", R"({"cached_tokens":8})"));
+    w.prefill.close(connection);
+    w.expect_release_within(w.loop.now());
+    EXPECT_EQ(w.prefill.count("DELETE"), 0u);
+}
+
+// A hand-over of which half is written when its server begins to drain: it was sent before, so it stays, and
+// stops no clock.
+TEST(HeldState, IsReleasedWhileAHandOverIsHalfWrittenAtADrain) {
+    HeldStateWorld w(settings_with_effect("once"));
+    StalledReader stalled;
+    w.platform.point("w1", stalled.address());
+    w.wait_for_list();
+    auto client = w.client();
+    client->say(w.call_with_content(w.fresh(), std::string(200000, 'a'), "3000"));
+    const Instant held_since = w.end_prefill();
+    w.until("half of the hand-over", [&] { return stalled.has_bytes(); });
+    w.platform.set("w1", "draining");
+    w.wait_for_list();
+    w.expect_release_within(held_since);
+    w.until("a final answer", [&] { return client->status() != 0; });
+    EXPECT_NE(client->status(), 200);
+}
+
 }  // namespace
 }  // namespace copperfront
--- a/tests/node/scripted_server.h
+++ b/tests/node/scripted_server.h
@@ -2,6 +2,8 @@
 // for discovery where a test has to hold the server's side at a known point.
 #pragma once
 
+#include <unistd.h>
+
 #include <cassert>
 #include <map>
 #include <memory>
@@ -44,6 +46,8 @@
     Closing how_ended(ConnectionId id) const { return ended_.at(id); }
 
     void send(ConnectionId id, const std::string& bytes) { connections_.at(id)->stream->send(bytes); }
+    // As one that holds all the connections it takes.
+    void close_new_connections(bool on) { closes_new_ = on; }
     void pause_reading(ConnectionId id, bool pause) { connections_.at(id)->stream->pause_reading(pause); }
     // Ends the connection in good order, after what was sent.
     void close(ConnectionId id) { Stream::hand_off(loop_, take(id), true); }
@@ -80,6 +84,10 @@
     };
 
     void accept(int fd) {
+        if (closes_new_) {
+            ::close(fd);
+            return;
+        }
         auto connection = std::make_unique<Connection>();
         connection->server = this;
         connection->id = next_++;
@@ -98,6 +106,7 @@
     Loop& loop_;
     Listener listener_;
     ConnectionId next_ = 0;
+    bool closes_new_ = false;
     std::map<ConnectionId, std::unique_ptr<Connection>> connections_;
     std::map<ConnectionId, Closing> ended_;
     std::vector<Request> requests_;
