--- /dev/null
+++ b/src/core/decode_placement.cpp
@@ -0,0 +1,95 @@
+// Which decode server takes a state: the one with the most free memory when the read has ended.
+#include <algorithm>
+#include <cmath>
+
+#include "rules.h"
+#include "rules_tuning.h"
+
+namespace copperfront {
+
+// What was compared, for whoever keeps a trace of it. Nothing here depends on that.
+bool Rules::tell(const Query& q, ServerIndex taken, bool reading, const char* why) {
+    if (!host_.keeps_trace()) return true;
+    sights_.clear();
+    for (const ServerIndex s : candidates_) sights_.push_back({s, reading ? reader_load(s) : writer_room(s)});
+    const std::size_t told = std::min(sights_.size(), kSightsTold);
+    const auto end = sights_.begin() + static_cast<std::ptrdiff_t>(told);
+    std::partial_sort(sights_.begin(), end, sights_.end(), [&](const Host::Sight& a, const Host::Sight& b) {
+        return reading ? a.figure < b.figure : a.figure > b.figure;
+    });
+    host_.chose(static_cast<QueryIndex>(&q - queries_.data()), taken, reading, why, {sights_.begin(), end},
+                candidates_.size());
+    return true;
+}
+
+// Against cells whose writers drown because all gateways favour the reader's cell at once: ties favour it
+// only as far as its writers' part matches its readers' part of the reads. What is over goes to cells with
+// writers to spare, of the same zone first. If all draw so, each writer gets its part.
+double Rules::writer_part(ServerIndex s, ServerIndex reader) const {
+    const Mix& here = cells_[cell_[reader]];
+    const Mix& there = cells_[cell_[s]];
+    const Mix& zone = zones_[zone_[reader]];
+    if (there.writers <= 0 || here.reads <= 0) return kLeastPart;
+    if (cell_[s] == cell_[reader])
+        return std::max(kLeastPart, std::min(here.reads, here.writers) / there.writers);
+    const double over = std::max(0.0, here.reads - here.writers);
+    const double stays = zone.over > 0 ? std::min(1.0, zone.spare / zone.over) : 1.0;
+    const double spare = std::max(0.0, there.writers - there.reads) / there.writers;
+    if (zone_[s] == zone_[reader])
+        return std::max(kLeastPart, zone.spare > 0 ? over * stays * spare / zone.spare : 0.0);
+    const Mix& far = zones_[zone_[s]];
+    const double left = far.spare > 0 ? std::max(0.0, 1 - far.over / far.spare) : 0.0;
+    return std::max(kLeastPart, far_spare_ > 0 ? over * (1 - stays) * spare * left / far_spare_ : 0.0);
+}
+
+// How far a state goes: within its cell, over the cell's link, or on to another zone.
+std::size_t Rules::way(ServerIndex from, ServerIndex to) const {
+    return cell_[from] == cell_[to] ? 0 : zone_[from] == zone_[to] ? 1 : 2;
+}
+
+void Rules::note_hand_over(const Query& q, Span took) {
+    const std::size_t w = way(q.state_at, q.server);
+    learn(hand_overs_[w], took.ms(), kLearnPool);
+    handed_at_[w] = host_.now();
+}
+
+// What was learned fades, as a way that is avoided teaches nothing more.
+double Rules::hand_over_time(std::size_t w) const {
+    return hand_overs_[w].mean * std::exp(-seconds(host_.now() - handed_at_[w]) / kRateWindowS);
+}
+
+bool Rules::pick_writer(const Query& q, ServerIndex& best) {
+    // Against links that are jammed: the state would be there too late, and hold up those behind it.
+    std::array<bool, 3> late{};
+    for (const std::size_t w : {1, 2})
+        late[w] = hand_over_time(w) > hand_over_time(0) && host_.now() + kMs * hand_over_time(w) > q.goal;
+    for (const int pass : {0, 1, 2}) {
+        const auto fit = [&](ServerIndex s) {
+            if (!writes(s) || !may_go(q, s) || !may_take(s)) return false;
+            if (pass < 2 && !is_open_to(q, s)) return false;
+            if (pass > 0) return true;
+            return !avoids(q, s) && shows_room(s) && !late[way(q.state_at, s)];
+        };
+        double most = -kInfinite;
+        candidates_.clear();
+        for (ServerIndex s = 0; s < servers_; ++s) {
+            if (!fit(s)) continue;
+            candidates_.push_back(s);
+            most = std::max(most, writer_room(s));
+        }
+        if (candidates_.empty()) continue;
+        const double tie = kWriterTie * stream_estimate(q);
+        double first = kInfinite;
+        for (const ServerIndex s : candidates_) {
+            if (writer_room(s) < most - tie) continue;
+            const double arrival = arrival_at(chance(), writer_part(s, q.state_at));
+            if (arrival >= first) continue;
+            first = arrival;
+            best = s;
+        }
+        return tell(q, best, false, pass == 0 ? "most free memory" : "no open writer shows room");
+    }
+    return false;
+}
+
+}  // namespace copperfront
