--- a/src/day/process.cpp
+++ b/src/day/process.cpp
@@ -98,6 +98,11 @@
     return it != by_name_.end() && ::kill(it->second->pid, which) == 0;
 }
 
+pid_t Processes::id_of(const std::string& name) const {
+    const auto it = by_name_.find(name);
+    return it != by_name_.end() ? it->second->pid : -1;
+}
+
 void Processes::reap() {
     for (auto it = by_name_.begin(); it != by_name_.end();) {
         int status = 0;
--- a/src/day/process.h
+++ b/src/day/process.h
@@ -33,6 +33,8 @@
     bool runs(const std::string& name) const { return by_name_.count(name) != 0; }
     // False: there is no such process.
     bool signal(const std::string& name, int which);
+    // Its process id; -1: there is no such process.
+    pid_t id_of(const std::string& name) const;
     std::size_t count() const { return by_name_.size(); }
 
   private:
