--- a/tests/core/hold_ledger_test.cpp
+++ b/tests/core/hold_ledger_test.cpp
@@ -270,6 +270,18 @@
     EXPECT_EQ(need(), Need::due);
 }
 
+// A prefill that was not heard to end may still leave its state while the next attempt lies unread.
+TEST_F(LedgerTest, LatePrefillBehindAnUnheardAttemptIsReleasedAgain) {
+    ledger.attempt_started(kRequest, kPrefill, kPrefillServer, true, now);
+    end(kPrefill, Ending::broken);
+    want_all();
+    ledger.attempt_started(kRequest, kSecondPrefill, kOther, true, now);
+    pass(lease());
+    EXPECT_EQ(release(), Proof::lease_only);
+    pass(kRule);
+    EXPECT_EQ(need(), Need::due);
+}
+
 TEST_F(LedgerTest, HistoryTellsWhyAReleaseDidNotCount) {
     ledger.name_servers([](ServerIndex server) { return "s" + std::to_string(server); });
     prefill_answered();
