A lease starts again while an attempt of its request was not heard to end

Once the release at a lease's end was answered, the ledger owed none before the out attempt's end, though an earlier prefill at a server that had hung may leave its state meanwhile. Change: with an attempt that was not heard to end, the lease starts again.

--- a/src/core/hold_ledger.cpp
+++ b/src/core/hold_ledger.cpp
@@ -218,7 +218,9 @@
         note(*request, now, Event::Kind::release_proves_nothing, by);
         request->unusual = true;
         if (request->lease_released || written < lease_end(key)) return result;
-        request->lease_released = true;
+        // An attempt that was not heard to end may still leave something, so it goes on with another lease.
+        request->lease_released = request->unheard.empty();
+        if (!request->lease_released) request->lease_since = now;
         if (is_sabotaged(Sabotage::lease_release_ends_hold)) request->entries.clear();
         result.proof = Proof::lease_only;
         if (now - result.held_since > release_within_) result.history = history(key);
--- a/src/core/release_policy.h
+++ b/src/core/release_policy.h
@@ -33,6 +33,15 @@
 inline constexpr Span kFirstReleaseAfter{250000}, kNextReleaseAfter{700000};
 inline constexpr std::uint32_t kMostAnswersOfPrefill = 4, kMostAnswersOfHandOver = 2;
 
+// What is known of the server of an attempt that ended unheard.
+struct UnheardAttemptServer {
+    Instant attempt_over, last_heard;  // last_heard zero: never
+    Instant hung_until;                // zero: it never has
+};
+// Whether the attempt may still be taken up or end there: the server hangs, or it did when the attempt ended,
+// and may be busy with what it had in hand then.
+bool may_end_late(const UnheardAttemptServer& server);
+
 struct Target {
     bool may_hang = false;
     Instant last_heard;  // zero: never
--- a/src/node/releases.cpp
+++ b/src/node/releases.cpp
@@ -151,10 +151,9 @@
     cancel_calls(release);
     if (is_sabotaged(Sabotage::late_attempts_not_followed)) return;
     for (const HoldLedger::UnheardAttempt& attempt : result.unheard) {
-        // It hangs, or did when the attempt ended and may still be busy with what it had in hand then.
-        const bool silent_since = pool_.last_heard(attempt.server) <= attempt.over_at;
-        const bool has_hung = pool_.hung_until(attempt.server) > attempt.over_at;
-        if ((silent_since || has_hung) && pool_.is_reachable(attempt.server)) {
+        const UnheardAttemptServer server{attempt.over_at, pool_.last_heard(attempt.server),
+                                          pool_.hung_until(attempt.server)};
+        if (may_end_late(server) && pool_.is_reachable(attempt.server)) {
             late_attempts_.follow({attempt.server, release.key, release.id, attempt.prefill});
         }
     }
