--- a/src/soak/judge.cpp
+++ b/src/soak/judge.cpp
@@ -18,6 +18,7 @@
 constexpr Microseconds kToldSlack = 150 * kMs + kMachineSlack;
 constexpr Microseconds kStillAccepting = 700 * kMs;
 constexpr Microseconds kResetSeen = 3 * kMs;
+constexpr Microseconds kSameMoment = 3 * kMs;
 // For an error or a close to a client that has stopped in the middle of a request.
 constexpr Microseconds kStalledAtMost = 3000 * kMs + kMachineSlack;
 // A change of the list counts as told this long after discovery had it, whatever became of watches.
@@ -172,7 +173,8 @@
         if (story.client == nullptr) return;
         bool held = false;
         std::string holder;
-        std::set<std::pair<std::string, std::uint64_t>> out;
+        std::set<Call> out;
+        Waiting waiting;
         Microseconds since = 0;
         const Microseconds killed = runs_until(*story.client);
         const auto check = [&](Microseconds now) {
@@ -195,6 +197,7 @@
             switch (event->event) {
                 case ServerEvent::arrived:
                     out.insert(call);
+                    if (event->role == Role::writer) waiting[call] = event->at;
                     break;
                 case ServerEvent::held:
                     held = true;
@@ -202,16 +205,21 @@
                     since = end_of_trouble(holder, event->at);
                     break;
                 case ServerEvent::taken:
-                case ServerEvent::released:
+                    waiting.erase(call);
                     held = false;
                     break;
-                // An attempt waits for the state, so its time starts again with that attempt's outcome.
+                // Where an attempt waits for the state it lets go of nothing, whatever its server says; the
+                // time starts again with that attempt's outcome.
+                case ServerEvent::released:
+                    held = held && waits_since(waiting, event->at);
+                    break;
                 case ServerEvent::release_kept:
                     break;
                 case ServerEvent::never_ran:
                 case ServerEvent::ended:
                 case ServerEvent::closed:
                     out.erase(call);
+                    waiting.erase(call);
                     since = std::max(since, end_of_trouble(event->server, event->at));
                     break;
             }
@@ -219,6 +227,15 @@
         check(records_.ended);
     }
 
+    // Hand-overs that have arrived and have not taken their state, by when they arrived.
+    using Call = std::pair<std::string, std::uint64_t>;
+    using Waiting = std::map<Call, Microseconds>;
+    // Two servers may record what they do in the same moment in either order.
+    static bool waits_since(const Waiting& waiting, Microseconds at) {
+        return std::any_of(waiting.begin(), waiting.end(),
+                           [at](const auto& one) { return at - one.second > kSameMoment; });
+    }
+
     // No server ran, or could be reached, for all of this time.
     bool all_are_troubled(Microseconds from, Microseconds until) const {
         return std::all_of(servers_.begin(), servers_.end(), [&](const std::string& server) {
--- a/src/soak/model_server.cpp
+++ b/src/soak/model_server.cpp
@@ -162,8 +162,12 @@
         if (id == nullptr) return stream_->send(response(404, "", ""));
         request_ = *id;
         const std::string* const left = head.find("X-Time-Left-Ms");
+        // A hand-over waits from the moment that it has arrived: a release that is read next lets go of
+        // nothing.
+        const bool is_hand_over = state_.options.role == Role::writer;
+        const bool has_state = is_hand_over && state_.held_states.hand_over_arrived(request_, attempt_name());
         state_.record(ServerEvent::arrived, request_, call_, left ? std::atoll(left->c_str()) : -1);
-        begin_work();
+        begin_work(has_state);
     }
 
     std::string attempt_name() const { return standin::FolderMarkStore::attempt_name(call_); }
@@ -184,20 +188,19 @@
         silenced_ = true;
     }
 
-    void begin_work() {
+    void begin_work(bool has_state) {
         fault_ = state_.draw_call_fault();
         events_sent_ = 0;
         has_taken_ = false;
         if (fault_ == CallFault::turned_away || fault_ == CallFault::turned_away_cut) return turn_away(503);
         const bool prefill = state_.options.role == Role::reader;
         // Nothing can run without its state, whatever else would go wrong with it.
-        if (!prefill && !state_.held_states.is_held(request_)) return turn_away(410);
+        if (!prefill && !has_state) return turn_away(410);
         if (fault_ == CallFault::error) return finish(response(500, "", ""));
         if (fault_ == CallFault::error_cut) return stop_short(response(500, "", "something went wrong"));
         if (fault_ == CallFault::reset_on_arrival) return break_off(true);
         if (fault_ == CallFault::closed_on_arrival) return break_off(false);
         busy_ = true;
-        if (!prefill) state_.held_states.hand_over_arrived(request_, attempt_name());
         if (fault_ == CallFault::interim_ahead) stream_->send(kInterim);
         if (fault_ == CallFault::waits_without_end && !prefill) return;
         step_.set({state_.between(2, 60) * 1000});
@@ -230,7 +233,7 @@
     }
 
     void end_prefill() {
-        state_.held_states.prefill_ended(request_);
+        state_.held_states.prefill_ended(request_, attempt_name());
         state_.record(ServerEvent::held, request_, call_);
         if (fault_ == CallFault::never_answered) return;
         if (fault_ == CallFault::answer_lost) return break_off(true);
@@ -256,6 +259,7 @@
     // The server is through with the call; a part of its answer comes, and the connection stays open.
     void stop_short(const std::string& answer) {
         state_.record(ServerEvent::ended, request_, call_);
+        state_.held_states.attempt_over(request_, attempt_name());
         stream_->send(answer == kInterim ? answer : answer.substr(0, any_part(answer)));
         busy_ = false;
         silenced_ = true;
@@ -304,6 +308,7 @@
     }
     void finish(const std::string& bytes) {
         state_.record(ServerEvent::ended, request_, call_);
+        state_.held_states.attempt_over(request_, attempt_name());
         stream_->send(bytes);
         answered();
         if (fault_ == CallFault::second_answer) step_.set({state_.between(1, 12) * 1000});
--- a/src/standin/held_states.cpp
+++ b/src/standin/held_states.cpp
@@ -14,7 +14,7 @@
 namespace copperfront::standin {
 namespace {
 
-const std::string kState = "state";
+const std::string kHolds = "holds.";
 const std::string kWaits = "waits.";
 
 // Identifiers become names of folders.
@@ -26,9 +26,12 @@
     return name.empty() ? "none" : name;
 }
 
-bool is_wait_of_dead_process(const std::string& mark) {
-    if (mark.rfind(kWaits, 0) != 0) return false;
-    const auto process = static_cast<pid_t>(std::atoll(mark.c_str() + kWaits.size()));
+bool starts_with(const std::string& mark, const std::string& kind) { return mark.rfind(kind, 0) == 0; }
+
+// What a process held and waited for has gone with it.
+bool is_of_dead_process(const std::string& mark) {
+    const std::size_t name = mark.find('.') + 1;
+    const auto process = static_cast<pid_t>(std::atoll(mark.c_str() + name));
     return kill(process, 0) != 0 && errno == ESRCH;
 }
 
@@ -47,19 +50,15 @@
     return true;
 }
 
-bool MemoryMarkStore::has(const std::string& request, const std::string& mark) const {
-    const auto it = marks_.find(request);
-    return it != marks_.end() && it->second.count(mark) > 0;
-}
-
 std::set<std::string> MemoryMarkStore::marks(const std::string& request) const {
     const auto it = marks_.find(request);
     return it == marks_.end() ? std::set<std::string>{} : it->second;
 }
 
-std::size_t MemoryMarkStore::count(const std::string& mark) const {
-    return static_cast<std::size_t>(std::count_if(
-        marks_.begin(), marks_.end(), [&](const auto& one) { return one.second.count(mark) > 0; }));
+std::vector<std::string> MemoryMarkStore::requests() const {
+    std::vector<std::string> found;
+    for (const auto& [request, marks] : marks_) found.push_back(request);
+    return found;
 }
 
 // ---- in a folder
@@ -82,25 +81,29 @@
     return unlink((folder_of(request) + "/" + mark).c_str()) == 0;
 }
 
-bool FolderMarkStore::has(const std::string& request, const std::string& mark) const {
-    return access((folder_of(request) + "/" + mark).c_str(), F_OK) == 0;
-}
-
 std::set<std::string> FolderMarkStore::marks(const std::string& request) const {
     std::set<std::string> found;
     std::error_code none;
     for (const auto& entry : std::filesystem::directory_iterator(folder_of(request), none)) {
         const std::string mark = entry.path().filename().string();
-        if (!is_wait_of_dead_process(mark)) found.insert(mark);
+        if (!is_of_dead_process(mark)) found.insert(mark);
     }
     return found;
 }
 
 // ---- the model
 
-void HeldStates::prefill_ended(const std::string& request) { store_.add(request, kState); }
+void HeldStates::prefill_ended(const std::string& request, const std::string& attempt) {
+    store_.add(request, kHolds + attempt);
+}
+
+bool HeldStates::has_mark(const std::string& request, const std::string& kind) const {
+    const std::set<std::string> marks = store_.marks(request);
+    return std::any_of(marks.begin(), marks.end(),
+                       [&kind](const std::string& mark) { return starts_with(mark, kind); });
+}
 
-bool HeldStates::is_held(const std::string& request) const { return store_.has(request, kState); }
+bool HeldStates::is_held(const std::string& request) const { return has_mark(request, kHolds); }
 
 bool HeldStates::hand_over_arrived(const std::string& request, const std::string& attempt) {
     if (!is_held(request)) return false;
@@ -109,7 +112,7 @@
 }
 
 bool HeldStates::fetch(const std::string& request, const std::string& attempt) {
-    const bool taken = store_.remove(request, kState);
+    const bool taken = drop_states(request);
     attempt_over(request, attempt);
     return taken;
 }
@@ -120,10 +123,17 @@
 
 HeldStates::ReleaseEffect HeldStates::release(const std::string& request) {
     if (!is_held(request)) return ReleaseEffect::nothing_held;
+    if (has_mark(request, kWaits)) return ReleaseEffect::kept;
+    return drop_states(request) ? ReleaseEffect::let_go : ReleaseEffect::nothing_held;
+}
+
+// With its first event, or a release, all that is held for a request goes.
+bool HeldStates::drop_states(const std::string& request) {
+    bool any = false;
     for (const std::string& mark : store_.marks(request)) {
-        if (mark.rfind(kWaits, 0) == 0) return ReleaseEffect::kept;
+        if (starts_with(mark, kHolds)) any = store_.remove(request, mark) || any;
     }
-    return store_.remove(request, kState) ? ReleaseEffect::let_go : ReleaseEffect::nothing_held;
+    return any;
 }
 
 }  // namespace copperfront::standin
--- a/src/standin/held_states.h
+++ b/src/standin/held_states.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace copperfront::standin {
 
@@ -17,7 +18,6 @@
     virtual void add(const std::string& request, const std::string& mark) = 0;
     // False: there was none.
     virtual bool remove(const std::string& request, const std::string& mark) = 0;
-    virtual bool has(const std::string& request, const std::string& mark) const = 0;
     virtual std::set<std::string> marks(const std::string& request) const = 0;
 };
 
@@ -26,9 +26,8 @@
   public:
     void add(const std::string& request, const std::string& mark) override;
     bool remove(const std::string& request, const std::string& mark) override;
-    bool has(const std::string& request, const std::string& mark) const override;
     std::set<std::string> marks(const std::string& request) const override;
-    std::size_t count(const std::string& mark) const;
+    std::vector<std::string> requests() const;
 
   private:
     std::map<std::string, std::set<std::string>> marks_;
@@ -43,7 +42,6 @@
     static std::string attempt_name(std::uint64_t call);
     void add(const std::string& request, const std::string& mark) override;
     bool remove(const std::string& request, const std::string& mark) override;
-    bool has(const std::string& request, const std::string& mark) const override;
     std::set<std::string> marks(const std::string& request) const override;
 
   private:
@@ -55,8 +53,8 @@
   public:
     explicit HeldStates(MarkStore& store) : store_(store) {}
 
-    // A prefill server has read the prompt.
-    void prefill_ended(const std::string& request);
+    // A prefill server has read the prompt. `attempt`: the prefill.
+    void prefill_ended(const std::string& request, const std::string& attempt);
     bool is_held(const std::string& request) const;
     // A hand-over has arrived and waits for the state. False: there is none, and it has not run.
     bool hand_over_arrived(const std::string& request, const std::string& attempt);
@@ -73,6 +71,10 @@
     ReleaseEffect release(const std::string& request);
 
   private:
+    bool has_mark(const std::string& request, const std::string& kind) const;
+    // False: nothing was held.
+    bool drop_states(const std::string& request);
+
     MarkStore& store_;
 };
 
--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -1,5 +1,6 @@
 #include "standin/platform.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <nlohmann/json.hpp>
 
@@ -81,29 +82,37 @@
             case Fault::turned_away:
                 return stream_->send(response(503, never, ""));
             case Fault::turned_away_ran:
+                leave_state();
                 return stream_->send(response(503, "", ""));
             case Fault::error:
+                leave_state();
                 return stream_->send(response(500, "", ""));
             case Fault::no_state:
                 return stream_->send(response(410, never, ""));
             case Fault::silent:
+                leave_state();
                 busy_ = true;
                 if (role_ == Role::writer) all_.held_states_.hand_over_arrived(id_, attempt_name());
                 return;
             case Fault::closes:
+                leave_state();
                 return all_.drop(*this, false);
             case Fault::resets:
+                leave_state();
                 return all_.drop(*this, true);
             case Fault::noise:
+                leave_state();
                 busy_ = true;
                 return stream_->send("%\x01 what is this\r\n\r\n\r\n");
             case Fault::head_without_end:
+                leave_state();
                 busy_ = true;
                 return stream_->send("HTTP/1.1 200 OK\r\nX: " + std::string(20000, 'a'));
             case Fault::interim:
                 stream_->send("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n");
                 break;
             case Fault::no_event:
+                leave_state();
                 busy_ = true;
                 return stream_->send(kEventStreamHead + chunk("what is this\n\n"));
             default:
@@ -111,21 +120,19 @@
         }
         busy_ = true;
         sent_ = 0;
-        if (role_ == Role::writer) {
-            const bool waits = all_.held_states_.hand_over_arrived(id_, attempt_name());
-            if (!waits || !all_.held_states_.fetch(id_, attempt_name())) {
-                busy_ = false;
-                return stream_->send(response(410, never, ""));
-            }
+        if (role_ == Role::writer && !all_.held_states_.hand_over_arrived(id_, attempt_name())) {
+            return turn_away_without_state();
         }
         step_.set(role_ == Role::reader ? all_.shape_.read : all_.shape_.first);
     }
 
     void go_on() {
         if (role_ == Role::reader) {
-            all_.held_states_.prefill_ended(id_);
+            leave_state();
             return finish(response(202, "Content-Type: application/json\r\n", R"({"cached_tokens":8})"));
         }
+        // In its turn: until then the state stays where it is.
+        if (sent_ == 0 && !all_.held_states_.fetch(id_, attempt_name())) return turn_away_without_state();
         if (sent_ == 0) stream_->send(kEventStreamHead);
         ++sent_;
         if (sent_ == 2) {
@@ -154,6 +161,14 @@
         finish(end);
     }
 
+    // Whatever becomes of its answer, a prefill server may have read by then.
+    void leave_state() {
+        if (role_ == Role::reader) all_.held_states_.prefill_ended(id_, attempt_name());
+    }
+    void turn_away_without_state() {
+        busy_ = false;
+        stream_->send(response(410, "X-Unprocessed: 1\r\n", ""));
+    }
     std::string attempt_name() const { return std::to_string(number_); }
 
     void finish(const std::string& bytes) {
@@ -350,6 +365,13 @@
     return text;
 }
 
+std::size_t Platform::states() const {
+    const std::vector<std::string> requests = marks_.requests();
+    return static_cast<std::size_t>(
+        std::count_if(requests.begin(), requests.end(),
+                      [this](const std::string& request) { return held_states_.is_held(request); }));
+}
+
 std::string Platform::list() const {
     std::vector<std::string> names;
     for (const auto& [name, server] : servers_)
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -88,7 +88,7 @@
     const std::vector<Heard>& heard() const { return heard_; }
     std::size_t count(const std::string& method, const std::string& server = "") const;
     // Requests for which a state is held.
-    std::size_t states() const { return marks_.count("state"); }
+    std::size_t states() const;
     std::size_t connections() const { return lines_.size(); }
 
   private:
--- a/tests/explore/hold_world.cpp
+++ b/tests/explore/hold_world.cpp
@@ -285,16 +285,16 @@
         return;
     }
     add("read", [this, launch] {
-        states_.prefill_ended(find(launch)->request);
+        states_.prefill_ended(find(launch)->request, std::to_string(launch));
         end_attempt(launch, Ending::read);
     });
     add("read, answer lost", [this, launch] {
-        states_.prefill_ended(find(launch)->request);
+        states_.prefill_ended(find(launch)->request, std::to_string(launch));
         end_attempt(launch, Ending::broken);
     });
     add("read, answer half sent", [this, launch] {
         Attempt& mine = *find(launch);
-        states_.prefill_ended(mine.request);
+        states_.prefill_ended(mine.request, std::to_string(launch));
         mine.phase = Phase::half_sent;
         mine.since = now_;
         heard_[mine.server] = now_;
@@ -316,7 +316,7 @@
     if (attempt.phase == Phase::working && attempt.prefill) {
         events.push_back({"read late " + name, [this, launch] {
                               const std::string request = find(launch)->request;
-                              states_.prefill_ended(request);
+                              states_.prefill_ended(request, std::to_string(launch));
                               server_sees_close(launch);
                           }});
     }
--- a/tests/node/held_state_test.cpp
+++ b/tests/node/held_state_test.cpp
@@ -12,20 +12,14 @@
 TEST_P(HeldStateEffects, HandOverWhoseConnectionNeverComesUp) {
     HeldStateWorld w(settings_with_effect(GetParam()));
     StalledListener stalled;
-    w.platform.point("w1", stalled.address());
-    w.wait_for_list();
-    auto client = w.client();
-    client->say(w.call(w.fresh(), "4000"));
+    auto client = w.ask_with_decode_at(stalled.address(), "4000");
     w.expect_release_within(w.end_prefill());
 }
 
 TEST_P(HeldStateEffects, HandOverThatStaysHalfWritten) {
     HeldStateWorld w(settings_with_effect(GetParam()));
     StalledReader stalled;
-    w.platform.point("w1", stalled.address());
-    w.wait_for_list();
-    auto client = w.client();
-    client->say(w.call_with_content(w.fresh(), std::string(200000, 'a'), "4000"));
+    auto client = w.ask_with_decode_at(stalled.address(), "4000", std::string(200000, 'a'));
     w.expect_release_within(w.end_prefill());
 }
 
@@ -160,10 +154,7 @@
         w.until("an answer", [&] { return usual->whole(); });
     }
     StalledReader unread;
-    w.platform.point("w1", unread.address());
-    w.wait_for_list();
-    auto client = w.client();
-    client->say(w.call(w.fresh(), "4000"));
+    auto client = w.ask_with_decode_at(unread.address(), "4000");
     w.prefill.send(w.wait_for_post(w.prefill, kUsual + 1), prefill_response());
     const Instant held_since = w.loop.now();
     w.until("the hand-over", [&] { return unread.has_bytes(); });
@@ -180,10 +171,7 @@
 TEST(HeldState, IsReleasedAfterShutdownWasAsked) {
     HeldStateWorld w(settings_with_effect("once"));
     StalledReader unread;
-    w.platform.point("w1", unread.address());
-    w.wait_for_list();
-    auto client = w.client();
-    client->say(w.call(w.fresh(), "3000"));
+    auto client = w.ask_with_decode_at(unread.address(), "3000");
     const Instant held_since = w.end_prefill();
     w.until("the hand-over", [&] { return unread.has_bytes(); });
     w.node->stop();
@@ -213,10 +201,7 @@
 TEST(HeldState, IsReleasedWhileAHandOverIsHalfWrittenAtADrain) {
     HeldStateWorld w(settings_with_effect("once"));
     StalledReader stalled;
-    w.platform.point("w1", stalled.address());
-    w.wait_for_list();
-    auto client = w.client();
-    client->say(w.call_with_content(w.fresh(), std::string(200000, 'a'), "3000"));
+    auto client = w.ask_with_decode_at(stalled.address(), "3000", std::string(200000, 'a'));
     const Instant held_since = w.end_prefill();
     w.until("half of the hand-over", [&] { return stalled.has_bytes(); });
     w.platform.set("w1", "draining");
--- a/tests/node/held_state_world.h
+++ b/tests/node/held_state_world.h
@@ -28,6 +28,16 @@
         return loop.now();
     }
 
+    // A request whose hand-over will go to a decode server at this address.
+    std::unique_ptr<Client> ask_with_decode_at(const std::string& address, const std::string& left = "4000",
+                                               const std::string& content = "hello there") {
+        platform.point("w1", address);
+        wait_for_list();
+        auto asking = client();
+        asking->say(call_with_content(fresh(), content, left));
+        return asking;
+    }
+
   private:
     std::size_t answered_at_prefill_ = 0, answered_at_decode_ = 0;
 };
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -98,6 +98,16 @@
                      .is_held_too_long());
 }
 
+// A server that says it has let go of the state is not believed.
+TEST(HeldStateJudge, ReleaseThatIsSaidToHaveCountedWhileAHandOverWaitsEndsNoHold) {
+    EXPECT_TRUE(Course()
+                    .prefilled(0)
+                    .at(5 * kMs, ServerEvent::arrived, 2)
+                    .at(750 * kMs, ServerEvent::released)
+                    .at(4000 * kMs, ServerEvent::closed, 2)
+                    .is_held_too_long());
+}
+
 // One that has not arrived is not out.
 TEST(HeldStateJudge, HandOverThatNeverArrivesStopsNoClock) {
     EXPECT_TRUE(Course().prefilled(0).at(2000 * kMs, ServerEvent::released).is_held_too_long());
--- a/tests/standin/held_states_test.cpp
+++ b/tests/standin/held_states_test.cpp
@@ -28,18 +28,19 @@
     MemoryMarkStore memory_;
     FolderMarkStore folder_store_{folder_.path};
     HeldStates states_{store()};
+    const std::string prefill_ = FolderMarkStore::attempt_name(0);
     const std::string attempt_ = FolderMarkStore::attempt_name(1), other_ = FolderMarkStore::attempt_name(2);
 };
 
 TEST_P(HeldStatesIn, ReleaseLetsGoOfAStateThatNoAttemptWaitsFor) {
     EXPECT_EQ(states_.release("q"), Effect::nothing_held);
-    states_.prefill_ended("q");
+    states_.prefill_ended("q", prefill_);
     EXPECT_EQ(states_.release("q"), Effect::let_go);
     EXPECT_FALSE(states_.is_held("q"));
 }
 
 TEST_P(HeldStatesIn, ReleaseKeepsAStateThatAnAttemptWaitsFor) {
-    states_.prefill_ended("q");
+    states_.prefill_ended("q", prefill_);
     EXPECT_TRUE(states_.hand_over_arrived("q", attempt_));
     EXPECT_TRUE(states_.hand_over_arrived("q", other_));
     EXPECT_EQ(states_.release("q"), Effect::kept);
@@ -51,7 +52,7 @@
 
 TEST_P(HeldStatesIn, OneHandOverTakesTheState) {
     EXPECT_FALSE(states_.hand_over_arrived("q", attempt_));
-    states_.prefill_ended("q");
+    states_.prefill_ended("q", prefill_);
     EXPECT_TRUE(states_.hand_over_arrived("q", attempt_));
     EXPECT_TRUE(states_.fetch("q", attempt_));
     EXPECT_FALSE(states_.fetch("q", other_));
@@ -59,8 +60,8 @@
 }
 
 TEST_P(HeldStatesIn, RequestsAreApart) {
-    states_.prefill_ended("q");
-    states_.prefill_ended("r");
+    states_.prefill_ended("q", prefill_);
+    states_.prefill_ended("r", prefill_);
     states_.hand_over_arrived("q", attempt_);
     EXPECT_EQ(states_.release("r"), Effect::let_go);
     EXPECT_TRUE(states_.is_held("q"));
@@ -69,17 +70,42 @@
 INSTANTIATE_TEST_SUITE_P(Each, HeldStatesIn, testing::Values("memory", "folder"),
                          [](const auto& param) { return std::string(param.param); });
 
+// A process that has died.
+std::string attempt_of_dead_process() {
+    const pid_t child = fork();
+    if (child == 0) _exit(0);
+    waitpid(child, nullptr, 0);
+    return std::to_string(child) + ".1";
+}
+
 // What a process that has died waited for holds up no release.
 TEST(HeldStates, AttemptsOfADeadProcessDoNotWait) {
     const Folder folder;
     FolderMarkStore store(folder.path);
     HeldStates states(store);
-    states.prefill_ended("q");
-    const pid_t child = fork();
-    if (child == 0) _exit(0);
-    waitpid(child, nullptr, 0);
-    states.hand_over_arrived("q", std::to_string(child) + ".1");
+    states.prefill_ended("q", FolderMarkStore::attempt_name(1));
+    states.hand_over_arrived("q", attempt_of_dead_process());
+    EXPECT_EQ(states.release("q"), Effect::let_go);
+}
+
+// And what it held has gone with it: a hand-over that comes for it is turned away.
+TEST(HeldStates, StatesOfADeadProcessAreGone) {
+    const Folder folder;
+    FolderMarkStore store(folder.path);
+    HeldStates states(store);
+    states.prefill_ended("q", attempt_of_dead_process());
+    EXPECT_FALSE(states.is_held("q"));
+    EXPECT_FALSE(states.hand_over_arrived("q", FolderMarkStore::attempt_name(1)));
+}
+
+// Two prefills of one request may each have left one.
+TEST(HeldStates, AllStatesOfARequestGoTogether) {
+    MemoryMarkStore store;
+    HeldStates states(store);
+    states.prefill_ended("q", "1");
+    states.prefill_ended("q", "2");
     EXPECT_EQ(states.release("q"), Effect::let_go);
+    EXPECT_FALSE(states.is_held("q"));
 }
 
 }  // namespace
