Failing: thousands of servers: lists refused, requests that wait, half a fleet changed

Reported: hundreds of lost requests, drains and held states that are late, only with thousands of model servers.

--- /dev/null
+++ b/src/soak/cpu_share.cpp
@@ -0,0 +1,28 @@
+#include "soak/cpu_share.h"
+
+#include <signal.h>
+
+#include <utility>
+
+namespace copperfront::soak {
+namespace {
+
+constexpr Span kPeriod{20000};  // of one stop and one continuation
+
+}  // namespace
+
+CpuShare::CpuShare(Loop& loop, day::Processes& processes, std::string process, double share)
+    : processes_(processes), process_(std::move(process)), share_(share), next_(loop, [this] { turn(); }) {
+    turn();
+}
+
+CpuShare::~CpuShare() { processes_.signal(process_, SIGCONT); }
+
+void CpuShare::turn() {
+    if (share_ >= 1) return;
+    running_ = !running_;
+    processes_.signal(process_, running_ ? SIGCONT : SIGSTOP);
+    next_.set(kPeriod * (running_ ? share_ : 1 - share_));
+}
+
+}  // namespace copperfront::soak
--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -196,11 +196,13 @@
 
 class Platform::Watcher : public Stream::Owner {
   public:
-    Watcher(Platform& all, int fd) : all_(all), wait_(all.loop_, [this] { tell(); }) {
+    Watcher(Platform& all, int fd)
+        : all_(all), wait_(all.loop_, [this] { tell(); }), next_piece_(all.loop_, [this] { write_piece(); }) {
         stream_ = Stream::accepted(all.loop_, fd, {0, kHeldBytes}, *this);
     }
     std::unique_ptr<Stream> take_stream() {
         wait_.off();
+        next_piece_.off();
         return std::move(stream_);
     }
     void bytes_came(Stream&) override {
@@ -233,7 +235,9 @@
         wait_.off();
         if (all_.silent_ || mute_) return;
         std::string body;
+        bool whole = !waits_;
         if (!all_.odd_lists_.empty()) {
+            whole = false;
             body = all_.odd_lists_.front();
             all_.odd_lists_.pop_front();
         } else if (!waits_) {
@@ -245,16 +249,32 @@
             body = "{\"index\":" + std::to_string(all_.index_) + ",\"snapshot\":false,\"endpoints\":[" +
                    all_.entries(names) + "]}";
         }
-        stream_->send(response(200, "Content-Type: application/json\r\n", body));
+        if (all_.indents_lists_) body = Json::parse(body).dump(2);
+        all_.written_lists_.push_back({all_.loop_.now(), all_.index_, whole, body.size()});
+        write(response(200, "Content-Type: application/json\r\n", body), whole ? all_.list_pieces_ : 1);
     }
 
   private:
+    void write(std::string text, std::size_t pieces) {
+        piece_bytes_ = text.size() / pieces + 1;
+        rest_ = std::move(text);
+        written_ = 0;
+        write_piece();
+    }
+    void write_piece() {
+        stream_->send(std::string_view(rest_).substr(written_, piece_bytes_));
+        written_ += piece_bytes_;
+        if (written_ < rest_.size()) next_piece_.set(all_.pieces_apart_);
+    }
+
     Platform& all_;
     std::unique_ptr<Stream> stream_;
     std::unique_ptr<http::Message> message_;
     std::uint64_t after_ = 0;
     bool waits_ = false, mute_ = false;
-    Timer wait_;
+    std::string rest_;  // of an answer that is written in pieces
+    std::size_t written_ = 0, piece_bytes_ = 0;
+    Timer wait_, next_piece_;
 };
 
 Platform::Platform(Loop& loop, const Shape& shape) : loop_(loop), shape_(shape) {
@@ -311,17 +331,22 @@
         lines_.emplace(raw, std::move(line));
     });
     server.address = server.listener->address().text();
-    changed(name);
+    changed({name});
 }
 
 void Platform::set(const std::string& name, const std::string& status) {
     servers_.at(name).status = status;
-    changed(name);
+    changed({name});
+}
+
+void Platform::set_all(const std::vector<std::string>& names, const std::string& status) {
+    for (const std::string& name : names) servers_.at(name).status = status;
+    changed(names);
 }
 
 void Platform::point(const std::string& name, const std::string& address) {
     servers_.at(name).address = address;
-    changed(name);
+    changed({name});
 }
 
 void Platform::kill(const std::string& name) {
@@ -344,8 +369,9 @@
     return fault;
 }
 
-void Platform::changed(const std::string& name) {
-    changes_.emplace_back(++index_, name);
+void Platform::changed(const std::vector<std::string>& names) {
+    ++index_;
+    for (const std::string& name : names) changes_.emplace_back(index_, name);
     if (silent_) return;
     for (const auto& [watcher, held] : watchers_)
         if (watcher->waits()) watcher->tell();
@@ -365,13 +391,14 @@
     return text;
 }
 
-std::size_t Platform::states() const {
-    const std::vector<std::string> requests = marks_.requests();
-    return static_cast<std::size_t>(
-        std::count_if(requests.begin(), requests.end(),
-                      [this](const std::string& request) { return held_states_.is_held(request); }));
+std::vector<std::string> Platform::held_requests() const {
+    std::vector<std::string> held = marks_.requests();
+    std::erase_if(held, [this](const std::string& request) { return !held_states_.is_held(request); });
+    return held;
 }
 
+std::size_t Platform::states() const { return held_requests().size(); }
+
 std::string Platform::list() const {
     std::vector<std::string> names;
     for (const auto& [name, server] : servers_)
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -62,6 +62,10 @@
     void add(const std::string& name, Role role, const std::string& zone, int group,
              const std::string& listen = "127.0.0.1:0");
     void set(const std::string& name, const std::string& status);  // up, draining or removed
+    // The same for many at once, told as one change.
+    void set_all(const std::vector<std::string>& names, const std::string& status);
+    // When its process started, as the list has it; 0: long ago. It is not told as a change.
+    void set_start(const std::string& name, std::int64_t since_ms) { servers_.at(name).since_ms = since_ms; }
     // The list names another address for it, where somebody else may listen.
     void point(const std::string& name, const std::string& address);
     // The process ends: its connections are reset and new ones refused; as another start under the same name
@@ -77,6 +81,12 @@
     void discovery_is_silent(bool silent) { silent_ = silent; }
     // Whole lists come so long after they were asked for.
     void whole_lists_take(Span time) { list_takes_ = time; }
+    // Whole lists are written in so many pieces, this far apart.
+    void write_whole_lists_in_pieces(std::size_t pieces, Span apart) {
+        list_pieces_ = pieces;
+        pieces_apart_ = apart;
+    }
+    void indent_lists(bool indent) { indents_lists_ = indent; }
     // Its port refuses connections, and open ones are reset.
     void discovery_is_down(bool down);
     // Of the calls that are open now: none is ever answered, or each is reset.
@@ -86,9 +96,18 @@
     std::string list() const;
 
     const std::vector<Heard>& heard() const { return heard_; }
+    // Answers of discovery in the order in which their first bytes were written.
+    struct WrittenList {
+        Instant at;
+        std::uint64_t index = 0;
+        bool whole = false;
+        std::size_t bytes = 0;
+    };
+    const std::vector<WrittenList>& written_lists() const { return written_lists_; }
     std::size_t count(const std::string& method, const std::string& server = "") const;
     // Requests for which a state is held.
     std::size_t states() const;
+    std::vector<std::string> held_requests() const;
     std::size_t connections() const { return lines_.size(); }
 
   private:
@@ -104,7 +123,7 @@
         std::deque<Fault> faults;
     };
     Fault fault_for(const std::string& server);
-    void changed(const std::string& name);
+    void changed(const std::vector<std::string>& names);
     std::string entries(const std::vector<std::string>& names) const;
     void open_discovery(const Address& at);
     void drop(Line& line, bool reset);
@@ -120,7 +139,10 @@
     std::vector<std::pair<std::uint64_t, std::string>> changes_;
     std::deque<std::string> odd_lists_;
     bool silent_ = false;
-    Span list_takes_;
+    Span list_takes_, pieces_apart_;
+    std::size_t list_pieces_ = 1;
+    bool indents_lists_ = false;
+    std::vector<WrittenList> written_lists_;
     std::map<Line*, std::unique_ptr<Line>> lines_;
     std::map<Watcher*, std::unique_ptr<Watcher>> watchers_;
     std::unique_ptr<Listener> discovery_;  // null: down
--- /dev/null
+++ b/tests/node/large_fleet.h
@@ -0,0 +1,247 @@
+// A gateway as a process of its own, with thousands of model servers, discovery and clients in the test's.
+#pragma once
+
+#include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <optional>
+#include <set>
+
+#include "day/process.h"
+#include "soak/cpu_share.h"
+#include "world.h"
+
+namespace copperfront {
+
+// What the platform's pages allow: 1,000 ms for a held state and 250 ms for a drain, each with their slack.
+constexpr Span kHeldAtMost = ms(1300);
+constexpr Span kDrainWithin = ms(300);
+
+inline const char* const kLargeFleetSettings =
+    R"("settings":{"azs":["a","b"],"zone":"a","balancers":300,"models":["reader","writer"],"quantum-ms":4,
+ "family-info":{"role-by-kind":["read","write"],"tokens-by-kind":[200000,120000],"release-ms":1000,
+  "token-aim-ms":[60]},
+ "limits":{"cancel":true,"max-attempts":6,"conn-idle-ms":15000,"connect-timeout-ms":250,"most-held":1000},
+ "profiles":[{"name":"help","target-ms":1000,"deadline-ms":4000,"effect":"repeatable","stream":true}],
+ "realms":[{"name":"acme","quota-per-s":100000}],
+ "safety":{"fall-ms":3000,"tip-multiple":2.5,"start-capacity":0.3,"warm-within-ms":14000}})";
+
+struct LargeFleetOptions {
+    std::size_t servers = 200;
+    double share = 1;        // of a core, for the gateway once it is ready
+    bool known_list = true;  // the configuration has the list
+    bool cold = false;       // all servers have just started
+    Span prefill_time = ms(10);
+};
+
+class LargeFleet {
+  public:
+    using Options = LargeFleetOptions;
+
+    explicit LargeFleet(const Options& options)
+        : options_(options), platform(loop, {options.prefill_time, ms(10), ms(5), 3}), processes_(loop) {
+        raise_descriptor_limit();
+        const std::int64_t now_ms = loop.now().us / 1000;
+        for (std::size_t n = 0; n < options.servers; ++n) {
+            const std::string name = name_of(n);
+            const Role role = is_prefill(n) ? Role::reader : Role::writer;
+            platform.add(name, role, n / 2 % 2 == 0 ? "a" : "b", static_cast<int>(n % 20));
+            if (options.cold) platform.set_start(name, now_ms);
+        }
+    }
+    ~LargeFleet() {
+        share_.reset();
+        std::filesystem::remove(configuration_);
+        std::filesystem::remove(log_file());
+    }
+    LargeFleet(const LargeFleet&) = delete;
+    LargeFleet& operator=(const LargeFleet&) = delete;
+
+    Loop loop;
+
+  private:
+    const Options options_;
+
+  public:
+    standin::Platform platform;
+
+    static std::string name_of(std::size_t n) { return "s-" + std::to_string(100000 + n); }
+    static bool is_prefill(std::size_t n) { return n % 2 == 0; }
+    std::vector<std::string> names(bool prefill) const {
+        std::vector<std::string> found;
+        for (std::size_t n = 0; n < options_.servers; ++n) {
+            if (is_prefill(n) == prefill) found.push_back(name_of(n));
+        }
+        return found;
+    }
+
+    void pass(Span span) {
+        Timer timer(loop, [this] { loop.stop(); });
+        timer.set(span);
+        loop.run();
+    }
+    template <class Condition>
+    bool wait_for(Condition condition, Span limit) {
+        const Instant until = loop.now() + limit;
+        while (!condition()) {
+            if (loop.now() > until) return false;
+            pass(ms(10));
+        }
+        return true;
+    }
+
+    // Starts the gateway and waits until it says that it is ready.
+    void start() {
+        std::ofstream file(configuration_);
+        const std::string list =
+            options_.known_list ? platform.list() : R"({"index":0,"snapshot":true,"endpoints":[]})";
+        file << R"({"name":"n0","listen":")" << address_.text() << R"(","discovery":")"
+             << platform.discovery().text() << R"(","seed":"1","limits":{"memory_mb":192,"sockets":1024},)"
+             << R"("known":)" << list << ",\n"
+             << kLargeFleetSettings << "}\n";
+        file.close();
+        day::Processes::Start start;
+        start.name = kGateway;
+        // Another build of the program, to see what that one does.
+        const char* const other = std::getenv("LARGE_FLEET_PROGRAM");
+        start.program = other != nullptr ? other : COPPERFRONT_PROGRAM;
+        start.args = {"node", configuration_, "--log-level", "info"};
+        start.errors = log_file();
+        processes_.start(std::move(start));
+        ASSERT_TRUE(wait_for([this] { return is_ready(); }, ms(20000)));
+        if (options_.share < 1) share_.emplace(loop, processes_, kGateway, options_.share);
+    }
+    bool signal(int which) { return processes_.signal(kGateway, which); }
+
+    // One request on a connection of its own.
+    struct Request {
+        std::string id;
+        std::unique_ptr<Client> client;
+        Instant sent, ended;  // ended zero: not yet
+        bool is_over() const { return client->whole() || (client->status() != 0 && client->status() != 200); }
+    };
+    // A request each `apart`. Each look at what has come notes what has ended, and what servers hold.
+    void send_requests(std::size_t count, Span apart, Span left = ms(4000)) {
+        for (std::size_t n = 0; n < count; ++n) {
+            Request request;
+            request.id = "q" + std::to_string(requests.size());
+            request.client = std::make_unique<Client>(loop, address_);
+            request.sent = loop.now();
+            request.client->say(text_of(request.id, left));
+            requests.push_back(std::move(request));
+            observe_for(apart);
+        }
+    }
+    void observe_for(Span span) {
+        const Instant until = loop.now() + span;
+        while (loop.now() < until) {
+            pass(std::min(until - loop.now(), ms(10)));
+            observe();
+        }
+    }
+    bool wait_for_answers(Span limit) {
+        return wait_for(
+            [this] {
+                observe();
+                return std::all_of(requests.begin(), requests.end(),
+                                   [](const Request& r) { return r.ended.us != 0; });
+            },
+            limit);
+    }
+    std::vector<Request> requests;
+
+    std::size_t completed() const {
+        return static_cast<std::size_t>(std::count_if(requests.begin(), requests.end(),
+                                                      [](const Request& r) { return r.client->whole(); }));
+    }
+    // Of the answers, in order; one that has not come counts as a minute.
+    Span answer_time(double quantile) const {
+        std::vector<Span> times;
+        for (const Request& r : requests) times.push_back(r.ended.us != 0 ? r.ended - r.sent : ms(60000));
+        std::sort(times.begin(), times.end());
+        return times[static_cast<std::size_t>(static_cast<double>(times.size() - 1) * quantile)];
+    }
+    // The longest that a state was held, as far as it was looked at.
+    Span longest_hold() const { return longest_hold_; }
+    // Prefills and hand-overs that reached one of these servers later than allowed after this time.
+    std::size_t late_sends(const std::vector<std::string>& servers, Instant drained) const {
+        const std::set<std::string> withdrawn(servers.begin(), servers.end());
+        return static_cast<std::size_t>(
+            std::count_if(platform.heard().begin(), platform.heard().end(), [&](const auto& heard) {
+                return heard.method == "POST" && withdrawn.count(heard.server) > 0 &&
+                       heard.at > drained + kDrainWithin;
+            }));
+    }
+    std::size_t whole_lists_written() const {
+        return static_cast<std::size_t>(std::count_if(platform.written_lists().begin(),
+                                                      platform.written_lists().end(),
+                                                      [](const auto& list) { return list.whole; }));
+    }
+    std::string log() const {
+        std::ifstream file(log_file());
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
+
+  private:
+    static constexpr const char* kGateway = "gateway";
+
+    static void raise_descriptor_limit() {
+        rlimit limit{};
+        getrlimit(RLIMIT_NOFILE, &limit);
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+
+    std::string log_file() const { return configuration_ + ".log"; }
+
+    bool is_ready() {
+        Client probe(loop, address_);
+        probe.say("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        for (int n = 0; n < 20 && probe.status() == 0 && !probe.closed; ++n) pass(ms(5));
+        return probe.status() == 200;
+    }
+
+    static std::string text_of(const std::string& id, Span left) {
+        const std::string body =
+            R"({"model":"chat","stream":true,"messages":[{"role":"user","content":"hi"}]})";
+        return "POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: " + id +
+               "\r\nX-Service-Class: help\r\nX-Account: acme\r\nX-Session-Key: s" + id +
+               "\r\nX-Time-Left-Ms: " + std::to_string(left.us / 1000) +
+               "\r\nX-Facts: prompt_len=2,max_out=50\r\nContent-Length: " + std::to_string(body.size()) +
+               "\r\n\r\n" + body;
+    }
+
+    void observe() {
+        const Instant now = loop.now();
+        for (Request& request : requests) {
+            if (request.ended.us == 0 && request.is_over()) request.ended = now;
+        }
+        std::map<std::string, Instant> held;
+        for (const std::string& id : platform.held_requests()) {
+            const auto before = held_since_.find(id);
+            held[id] = before != held_since_.end() ? before->second : now;
+            longest_hold_ = std::max(longest_hold_, now - held[id]);
+        }
+        held_since_ = std::move(held);
+    }
+
+    // Of its own for each process of this machine.
+    static std::string host() {
+        const int own = static_cast<int>(getpid());
+        return "127.9." + std::to_string(own / 250 % 250) + "." + std::to_string(1 + own % 250);
+    }
+    const std::string configuration_ = std::filesystem::temp_directory_path().string() + "/large-fleet-" +
+                                       std::to_string(getpid()) + ".json";
+    const Address address_ = Address::parse(host() + ":18082");
+    std::map<std::string, Instant> held_since_;
+    Span longest_hold_;
+    day::Processes processes_;
+    std::optional<soak::CpuShare> share_;
+};
+
+}  // namespace copperfront
