Lists are read as they come, bounded by memory, and judged by their progress

Seen by callers: with 3,200 servers requests go to servers that drain or are gone, and none is served where the settings have no list. Change: platform/list_reader reads each entry once it is whole; a list may take an eighth of the memory; an answer under way is waited for as long as parts of it come, with a call a second beside it; four calls wait 6 s for a first byte. Why it works: nothing bounds a list by the size of a usual fleet any more, and no time limit runs while it makes progress.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -6,6 +6,7 @@
 #include "core/sabotage.h"
 #include "http/message.h"
 #include "net/stream.h"
+#include "platform/list_reader.h"
 
 namespace copperfront {
 namespace {
@@ -14,14 +15,20 @@
 // fallen silent is found out by its time alone.
 constexpr std::int64_t kWaitMs = 1000;
 constexpr Span kSilentAfter{250000};    // past that time: the agent answers at once
-constexpr Span kAnswerWithin{1000000};  // for a whole list, or the rest of an answer that has begun
+constexpr Span kAnswerWithin{1000000};  // for the first byte of a whole list, and between parts of an answer
+// A few calls wait longer for their first byte, for an agent that is slow or crowded.
+constexpr Span kAnswerSlowWithin{6000000};
+constexpr std::size_t kMostSlowCalls = 4;
+constexpr Span kSlowCallsApart{1000000};
+// An answer to a watch may take so long in all: news count as told after 6 s.
+constexpr Span kWatchAnswerWithin{3000000};
 // Against an agent that is silent for a while, and has its list the moment it is back: calls follow each
 // other in less than the shortest grace of a drain, and none is given up for the next, so that a slow one is
 // heard.
 constexpr int kAgainLeastMs = 60, kAgainMostMs = 120;
+constexpr int kAgainWhileReceivingMs = 1000;
 // As many as can be open before the first of them is through: no more connections than that at once.
-constexpr std::size_t kMostCalls = kAnswerWithin.us / 1000 / kAgainLeastMs + 1;
-constexpr std::uint64_t kMostList = 256 << 10;
+constexpr std::size_t kMostCalls = kAnswerWithin.us / 1000 / kAgainLeastMs + 1 + kMostSlowCalls;
 constexpr std::size_t kHeldBytes = 64 << 10;
 
 }  // namespace
@@ -32,18 +39,16 @@
         : all_(all),
           loop_(all.loop_),
           target_(target),
-          patience_(all.loop_, [this] { all_.lost(*this, "no answer in time"); }) {
+          patience_(all.loop_, [this] { waited_long_enough(); }) {
         stream_ = Stream::dial(all.loop_, all.address_, {0, kHeldBytes}, *this);
-        patience_.set(kAnswerWithin);
+        begin(kAnswerWithin);
     }
     ~Call() override { end(); }
 
     void ask(const std::string& target, Span within) {
-        body_ = {};
-        begun_ = false;
+        begin(within);
         begin_answer();
         stream_->send("GET " + target + " HTTP/1.1\r\nHost: discovery\r\n\r\n");
-        patience_.set(within);
         if (is_sabotaged(Sabotage::silent_watch_trusted)) patience_.off();
     }
     void end() {
@@ -51,17 +56,20 @@
         Stream::hand_off(loop_, std::move(stream_), false);
         message_.reset();
     }
+    bool has_begun() const { return begun_; }
+    bool is_slow() const { return slow_; }
+    Instant asked_at() const { return asked_at_; }
 
     void stream_made(Stream&) override { ask(target_, kAnswerWithin); }
     void bytes_came(Stream&) override {
-        if (message_ && !std::exchange(begun_, true)) patience_.set(kAnswerWithin);
+        if (message_) note_progress();
         while (stream_ && message_) {
             const std::string_view bytes = stream_->front();
             if (bytes.empty()) return;
             const std::size_t took = message_->take(bytes);
             stream_->drain(took);
-            if (message_->trouble() != http::Trouble::none)
-                return all_.lost(*this, "an answer that can't be read: " + message_->what());
+            if (message_->trouble() != http::Trouble::none) return all_.lost(*this, trouble());
+            if (!bad_list_.empty()) return all_.lost(*this, "a list that can't be read: " + bad_list_);
             if (message_->done()) return take();
         }
         if (stream_ && stream_->held() > 0) all_.lost(*this, "bytes that nobody asked for");
@@ -73,9 +81,48 @@
     }
 
   private:
+    void begin(Span within) {
+        asked_at_ = loop_.now();
+        begun_ = slow_ = false;
+        patience_.set(within);
+    }
+
+    // Each part that comes is waited for anew. A watch is told news only once its answer is whole, so that
+    // one has a bound in all.
+    void note_progress() {
+        if (!begun_) begun_at_ = loop_.now();
+        begun_ = true;
+        Span within = kAnswerWithin;
+        if (all_.live_) within = std::min(within, begun_at_ + kWatchAnswerWithin - loop_.now());
+        patience_.set(within);
+    }
+
+    void waited_long_enough() {
+        if (begun_ || slow_ || !all_.may_wait_longer(*this)) return all_.lost(*this, "no answer in time");
+        slow_ = true;
+        patience_.set(kAnswerSlowWithin);
+    }
+
+    std::string trouble() const {
+        if (message_->trouble() != http::Trouble::body_too_long)
+            return "an answer that can't be read: " + message_->what();
+        return "a list of over " + std::to_string(all_.most_bytes_) +
+               " bytes, which is more than the gateway's memory allows";
+    }
+
     void begin_answer() {
-        message_ = std::make_unique<http::Message>(http::Sort::answer, http::Bounds{8192, kMostList},
-                                                   [this](std::string_view piece) { body_.append(piece); });
+        reader_ = {};
+        bad_list_.clear();
+        message_ = std::make_unique<http::Message>(http::Sort::answer, http::Bounds{8192, all_.most_bytes_},
+                                                   [this](std::string_view piece) { read(piece); });
+    }
+    void read(std::string_view piece) {
+        if (!bad_list_.empty() || message_->head().status != 200) return;
+        try {
+            reader_.take(piece);
+        } catch (const platform::BadInput& bad) {
+            bad_list_ = bad.what();
+        }
     }
     void take() {
         const http::Head head = message_->head();
@@ -84,8 +131,14 @@
         patience_.off();
         if (head.status != 200)
             return all_.lost(*this, "an answer with status " + std::to_string(head.status));
-        const std::string body = std::exchange(body_, {});
-        all_.answered(*this, head.keeps_open, body);
+        platform::News news;
+        const std::size_t bytes = reader_.bytes();
+        try {
+            news = reader_.finish();
+        } catch (const platform::BadInput& bad) {
+            return all_.lost(*this, std::string("a list that can't be read: ") + bad.what());
+        }
+        all_.answered(*this, head.keeps_open, news, bytes);
     }
 
     Discovery& all_;
@@ -93,15 +146,20 @@
     const std::string target_;
     std::unique_ptr<Stream> stream_;
     std::unique_ptr<http::Message> message_;
-    std::string body_;
-    bool begun_ = false;
+    platform::ListReader reader_;
+    std::string bad_list_;  // why the list can't be read
+    bool begun_ = false;    // a part of its answer has come
+    bool slow_ = false;     // it waits longer than others for its first byte
+    Instant asked_at_, begun_at_;
     Timer patience_;
 };
 
-Discovery::Discovery(Loop& loop, Told told, std::function<void()> missed, std::uint32_t seed, Log& log)
+Discovery::Discovery(Loop& loop, Told told, std::function<void()> missed, std::uint32_t seed,
+                     std::uint64_t most_bytes, Log& log)
     : loop_(loop),
       told_(std::move(told)),
       missed_(std::move(missed)),
+      most_bytes_(most_bytes),
       log_(log),
       chance_(seed),
       again_(loop, [this] { open_call(); }) {}
@@ -131,21 +189,43 @@
     return target;
 }
 
+// A whole list is on its way.
+bool Discovery::is_receiving() const {
+    return std::any_of(calls_.begin(), calls_.end(), [](const auto& call) { return call->has_begun(); });
+}
+
+// The oldest call of which nothing has come makes room. False: there is none.
+bool Discovery::make_room() {
+    const auto oldest =
+        std::find_if(calls_.begin(), calls_.end(), [](const auto& call) { return !call->has_begun(); });
+    if (oldest == calls_.end()) return false;
+    drop(**oldest);
+    return true;
+}
+
+bool Discovery::may_wait_longer(const Call& call) const {
+    if (live_) return false;
+    std::size_t slow = 0;
+    for (const auto& other : calls_) {
+        if (!other->is_slow()) continue;
+        if (call.asked_at() - other->asked_at() < kSlowCallsApart) return false;
+        ++slow;
+    }
+    return slow < kMostSlowCalls;
+}
+
 void Discovery::open_call() {
-    if (calls_.size() >= kMostCalls) drop(*calls_.front());
-    calls_.push_back(std::make_unique<Call>(*this, target()));
+    const bool receiving = is_receiving();
+    if (calls_.size() < kMostCalls || make_room()) {
+        calls_.push_back(std::make_unique<Call>(*this, target()));
+    }
+    if (live_) return;
     // Not in step with other gateways.
     std::uniform_int_distribution<std::int64_t> wait(kAgainLeastMs, kAgainMostMs);
-    if (!live_) again_.set({wait(chance_) * 1000});
+    again_.set({(receiving ? kAgainWhileReceivingMs : wait(chance_)) * 1000});
 }
 
-void Discovery::answered(Call& call, bool keeps_open, const std::string& body) {
-    platform::News news;
-    try {
-        news = platform::read_news(std::string_view(body));
-    } catch (const platform::BadInput& bad) {
-        return lost(call, std::string("a list that can't be read: ") + bad.what());
-    }
+void Discovery::answered(Call& call, bool keeps_open, const platform::News& news, std::size_t bytes) {
     // Where a whole list was asked for, any version will do.
     const bool forward =
         news.whole ? !live_ || news.index >= index_
@@ -153,6 +233,10 @@
     if (!forward) return lost(call, "news that go backward, or changes of a list that is not in hand");
     const bool first = !live_;
     index_ = news.index;
+    status_.index = news.index;
+    status_.bytes = bytes;
+    status_.confirmed = loop_.now();
+    ++status_.taken;
     live_ = true;
     complained_ = false;
     again_.off();
@@ -169,6 +253,7 @@
 }
 
 void Discovery::lost(Call& call, const std::string& why) {
+    ++status_.lost;
     drop(call);
     if (!live_) {
         if (!complained_) watch_is_lost(why);
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -20,7 +20,9 @@
   public:
     using Told = std::function<void(const platform::News&)>;
 
-    Discovery(Loop& loop, Told told, std::function<void()> missed, std::uint32_t seed, Log& log);
+    // `most_bytes`: of one list.
+    Discovery(Loop& loop, Told told, std::function<void()> missed, std::uint32_t seed,
+              std::uint64_t most_bytes, Log& log);
     ~Discovery();
 
     // From now on at this address, the whole list first. The same address again changes nothing.
@@ -28,21 +30,36 @@
     void stop();
     bool live() const { return live_; }
 
+    // For whoever watches the gateway.
+    struct Status {
+        std::uint64_t index = 0;  // version of the list in hand; 0: none was taken
+        std::size_t bytes = 0;    // of the answer that was taken last
+        Instant confirmed;        // when an answer was taken last; zero: never
+        std::uint64_t taken = 0;  // answers
+        std::uint64_t lost = 0;   // calls without a usable answer
+    };
+    const Status& status() const { return status_; }
+
   private:
     class Call;
     friend class Call;
 
     void open_call();
-    void answered(Call& call, bool keeps_open, const std::string& body);
+    void answered(Call& call, bool keeps_open, const platform::News& news, std::size_t bytes);
     void lost(Call& call, const std::string& why);
     void drop(Call& call);
+    bool make_room();
+    bool is_receiving() const;
+    bool may_wait_longer(const Call& call) const;
     void watch_is_lost(const std::string& why);
     std::string target() const;
 
     Loop& loop_;
     Told told_;
     std::function<void()> missed_;
+    const std::uint64_t most_bytes_;
     Log& log_;
+    Status status_;
     std::minstd_rand chance_;
     std::string text_;
     Address address_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,6 +17,7 @@
 constexpr double kClientPart = 0.48;
 constexpr std::size_t kReleaseLines = 8;  // connections kept for releases
 constexpr double kBodiesPart = 0.125;     // of the memory
+constexpr double kListPart = 0.125;       // of the memory; most bytes of one list
 constexpr double kIdlePart = 0.7;         // of the time after which a server closes an idle connection
 constexpr Span kUsualIdle{10000000};
 // The platform takes a client that is left waiting for 5 s after a server's last event as lost.
@@ -37,11 +38,15 @@
     return {clients, free - clients};
 }
 
+std::size_t memory_part(const platform::NodeTerms& terms, double part) {
+    const double mb = terms.memory_mb > 0 ? terms.memory_mb : kUsualMemoryMb;
+    return static_cast<std::size_t>(mb * part * (1 << 20));
+}
+
 ClientConnections::Bounds front_bounds(const platform::NodeTerms& terms) {
     ClientConnections::Bounds bounds;
     bounds.connections = sizes_of(terms).clients;
-    const double mb = terms.memory_mb > 0 ? terms.memory_mb : kUsualMemoryMb;
-    bounds.body_bytes = static_cast<std::size_t>(mb * kBodiesPart * (1 << 20));
+    bounds.body_bytes = memory_part(terms, kBodiesPart);
     return bounds;
 }
 
@@ -78,7 +83,7 @@
             list_told(news);
             server_starts_.list_confirmed(loop_.now());
         },
-        [this] { desk_->list_missed(); }, terms_.seed, log);
+        [this] { desk_->list_missed(); }, terms_.seed, memory_part(terms_, kListPart), log);
     Outside& outside = *this;
     desk_ = std::make_unique<Desk>(terms_.core, outside, terms_.seed);
     desk_->limits_changed(std::vector<RouteLimits>{limits()}, terms_.core.gateways);
--- a/src/platform/registry.cpp
+++ b/src/platform/registry.cpp
@@ -12,6 +12,8 @@
     return name;
 }
 
+}  // namespace
+
 Entry read_entry(const Json& e) {
     if (!e.is_object()) throw BadInput("not an object: endpoints");
     Entry entry;
@@ -32,7 +34,9 @@
     return entry;
 }
 
-}  // namespace
+void check_entry_count(std::size_t entries) {
+    if (entries > kMostEntries) throw BadInput("too many endpoints");
+}
 
 News read_news(const Json& news) {
     if (!news.is_object()) throw BadInput("not an object: the list");
@@ -40,16 +44,10 @@
     told.index = whole(news, "index");
     told.whole = flag(news, "snapshot");
     const Json& entries = list_or_empty(news, "endpoints");
-    if (entries.size() > kMostEntries) throw BadInput("too many endpoints");
+    check_entry_count(entries.size());
     told.entries.reserve(entries.size());
     for (const Json& e : entries) told.entries.push_back(read_entry(e));
     return told;
 }
 
-News read_news(std::string_view text) {
-    const Json news = Json::parse(text, nullptr, false);
-    if (news.is_discarded()) throw BadInput("not JSON");
-    return read_news(news);
-}
-
 }  // namespace copperfront::platform
--- a/src/platform/registry.h
+++ b/src/platform/registry.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "core/rules.h"
@@ -25,6 +24,8 @@
 
 // Throws BadInput, also where a single entry can't be read: half a list is no list.
 News read_news(const Json& news);
-News read_news(std::string_view text);
+Entry read_entry(const Json& entry);
+// Throws BadInput where no list has so many entries.
+void check_entry_count(std::size_t entries);
 
 }  // namespace copperfront::platform
--- a/tests/node/large_fleet_test.cpp
+++ b/tests/node/large_fleet_test.cpp
@@ -23,6 +23,24 @@
     EXPECT_LE(fleet.whole_lists_written(), 3u);
 }
 
+// Against a list that is given up because it takes over a second to arrive, or to begin.
+TEST(LargeFleet, ListThatArrivesSlowlyIsTaken) {
+    for (const bool begins_late : {false, true}) {
+        LargeFleet fleet({.servers = kUsualServers});
+        if (begins_late) fleet.platform.whole_lists_take(ms(2000));
+        if (!begins_late) fleet.platform.write_whole_lists_in_pieces(30, ms(48));
+        fleet.start();
+        fleet.send_requests(300, ms(10));
+        std::vector<std::string> drained = fleet.names(true);
+        drained.resize(drained.size() / 2);
+        const Instant at = fleet.loop.now();
+        fleet.platform.set_all(drained, "draining");
+        fleet.send_requests(100, ms(10));
+        EXPECT_TRUE(fleet.wait_for_answers(ms(5000)));
+        EXPECT_EQ(fleet.late_sends(drained, at), 0u) << (begins_late ? "begins late" : "comes in pieces");
+    }
+}
+
 // Against requests that wait and cost a look at every server at every event.
 TEST(LargeFleet, WaitingRequestsAreAnsweredAsSoonAsWithFewServers) {
     Span usual_median, usual_late;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -6,6 +6,7 @@
 
 #include "platform/answers.h"
 #include "platform/call.h"
+#include "platform/list_reader.h"
 #include "platform/node_terms.h"
 
 using namespace copperfront;
@@ -100,17 +101,58 @@
     assert(!stands_against(now, read_node_terms(file(roles), nothing)).empty());
 }
 
+// In pieces of so many bytes.
+News read_list(std::string_view text, std::size_t piece) {
+    ListReader reader;
+    for (std::size_t at = 0; at < text.size(); at += piece) reader.take(text.substr(at, piece));
+    return reader.finish();
+}
+
 void lists_are_read_whole_or_not_at_all() {
-    const News removed =
-        read_news(std::string_view(R"({"index":2,"endpoints":[{"name":"a","status":"removed"}]})"));
+    const char* const kRemoved = R"({"index":2,"endpoints":[{"name":"a","status":"removed"}]})";
+    const News removed = read_list(kRemoved, 1000);
     assert(!removed.whole && removed.entries[0].standing == Standing::gone);
     for (const char* bad :
-         {"", "[]", "{}", R"({"index":"1"})", R"({"index":1,"endpoints":{}})",
-          R"({"index":1,"endpoints":[1]})", R"({"index":1,"endpoints":[{"name":"a","status":"up"}]})",
+         {"",
+          "[]",
+          "{}",
+          R"({"index":"1"})",
+          R"({"index":1,"endpoints":{}})",
+          R"({"index":1,"endpoints":[1]})",
+          R"({"index":1,"endpoints":[{"name":"a","status":"up"}]})",
           R"({"index":1,"endpoints":[{"name":"a","status":"odd","address":"x"}]})",
           R"({"index":1,"endpoints":[{"name":"","status":"up","address":"x"}]})",
-          R"({"index":1,"endpoints":[{"name":"a","status":"up","address":"x","since_ms":1e300}]})"})
-        assert(!wrong([&] { read_news(std::string_view(bad)); }).empty());
+          R"({"index":1,"endpoints":[{"name":"a","status":"up","address":"x","since_ms":1e300}]})",
+          R"({"index":1,"endpoints":[0]})",
+          R"({"index":1,"endpoints":[{"name":"a","status":"removed"}0]})",
+          R"({"index":1,"endpoints":[{"name":"a","status":"removed"}{"name":"b","status":"removed"}]})",
+          R"({"index":1,"endpoints":[{"name":"a","status":"removed"},]})",
+          R"({"index":1,"endpoints":[{"name":"a","status":"removed"]}})",
+          R"({"index":1,"endpoints":[[{"name":"a","status":"removed"}]]})",
+          R"({"index":1,"endpoints":[{"name":"a","status":"removed"}]})"
+          "x",
+          R"({"index":1,"endpoints":[{"name":"a","status":"removed"}])",
+          "]",
+          "}{",
+          R"({"index":1,"endpoints":[{"name":"a","status":"removed"}],"endpoints":[]})"})
+        for (const std::size_t piece : {std::size_t{1000}, std::size_t{1}})
+            assert(!wrong([&] { read_list(bad, piece); }).empty());
+}
+
+// Strings may hold what looks like structure, and a list may be indented.
+void lists_in_odd_forms_are_read_in_pieces_of_any_size() {
+    const std::string text = R"( { "more" : { "endpoints" : [ {"x": 1} ], "y" : "]}{[\"" },
+  "endpoints" : [
+    { "name" : "a]}", "status" : "up", "address" : "1.2.3.4:5", "group" : 3, "more" : [ { } ] } ,
+    { "name" : "b\"{", "status" : "draining", "address" : "1.2.3.4:6", "since_ms" : 7 } ],
+  "snapshot" : true, "index" : 9 } )";
+    for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+        const News news = read_list(text, piece);
+        assert(news.index == 9 && news.whole && news.entries.size() == 2);
+        assert(news.entries[0].name == "a]}" && news.entries[0].cell == "3");
+        assert(news.entries[1].name == "b\"{" && news.entries[1].standing == Standing::draining);
+        assert(news.entries[1].born.us == 7000);
+    }
 }
 
 http::Head head_of(const std::vector<std::pair<std::string, std::string>>& fields) {
@@ -277,6 +319,7 @@
     what_is_wrong_with_a_file_is_told();
     terms_may_grow_but_not_change_their_meaning();
     lists_are_read_whole_or_not_at_all();
+    lists_in_odd_forms_are_read_in_pieces_of_any_size();
     headers_become_an_arrival();
     a_call_that_cannot_be_read_is_told_so();
     answers_become_outcomes();
