Discovery is read first only in turn with others; one list at a time

Change: only discovery's stream is urgent, and after each read it waits until others had their turn; while a list is on its way further calls come once a second, and calls that have not begun are dropped. Attempts that are followed know which servers are being asked (each look compared all pairs). Also: growth_bench fails where its gateway has not taken its list; status lines count what bounds left out; the soak lists each server under many names (--listed), draws shares of a core (--least-cpu-share), drains a quarter of the fleet in steps, writes lists slowly or indented, and its judge tells a drain from the moment that discovery wrote it to that gateway.

--- a/bench/growth_bench.cpp
+++ b/bench/growth_bench.cpp
@@ -37,7 +37,8 @@
     std::vector<std::string> programs;
     std::vector<std::size_t> servers{200, 3200};
     std::size_t requests = 400, rounds = 3;
-    double rate = 50;  // requests a second
+    double rate = 50;   // requests a second
+    bool cold = false;  // all servers have just started, so that requests wait
 };
 
 struct Figures {
@@ -107,6 +108,7 @@
         for (std::size_t n = 0; n < servers; ++n) {
             platform_.add("s-" + std::to_string(n), n % 2 == 0 ? Role::reader : Role::writer,
                           n / 2 % 2 == 0 ? "a" : "b", static_cast<int>(n % 20));
+            if (options.cold) platform_.set_start("s-" + std::to_string(n), loop_.now().us / 1000);
         }
         start(program);
     }
@@ -130,6 +132,7 @@
                                [](const auto& r) { return r->completed(); });
         };
         while (!done() && loop_.now() < until) pass(kMs * 20);
+        check_world(requests);
         return figures(requests);
     }
 
@@ -155,6 +158,17 @@
         loop_.run();
     }
 
+    // Figures of a gateway that has not taken its list, or serves nothing, are of no use.
+    void check_world(const std::vector<std::unique_ptr<OneRequest>>& requests) const {
+        const auto& lists = platform_.written_lists();
+        const bool watches = !lists.empty() && !lists.back().whole;
+        if (!watches)
+            throw std::runtime_error("the gateway has not taken its list: it watches for no change");
+        const bool any = std::any_of(requests.begin(), requests.end(),
+                                     [](const auto& request) { return request->completed(); });
+        if (!any) throw std::runtime_error("the gateway has served no request");
+    }
+
     void wait_until_ready() {
         const Instant until = loop_.now() + kReadyWithin;
         std::string last;
@@ -243,6 +257,7 @@
     app.add_option("--servers", options.servers, "sizes of the fleet")->capture_default_str();
     app.add_option("--requests", options.requests)->capture_default_str();
     app.add_option("--rate", options.rate, "requests a second")->capture_default_str();
+    app.add_flag("--cold", options.cold, "all servers have just started, so that requests wait");
     app.add_option("--rounds", options.rounds)->capture_default_str();
     CLI11_PARSE(app, argc, argv);
     try {
--- a/src/cli/soak_command.cpp
+++ b/src/cli/soak_command.cpp
@@ -124,6 +124,13 @@
     sub->add_option("--gateways", options->gateways)->check(CLI::Range(1, 50))->capture_default_str();
     sub->add_option("--prefill", options->prefill_servers)->check(CLI::Range(1, 50))->capture_default_str();
     sub->add_option("--decode", options->decode_servers)->check(CLI::Range(1, 50))->capture_default_str();
+    sub->add_option("--listed", options->listed_servers,
+                    "entries of discovery's list, where each server stands under many names")
+        ->check(CLI::Range(0, 10000));
+    sub->add_option("--least-cpu-share", options->least_cpu_share,
+                    "each gateway gets a part of a core, drawn from here to one")
+        ->check(CLI::Range(0.05, 1.0))
+        ->capture_default_str();
     sub->add_option("--clients", options->clients)->check(CLI::Range(1, 1000))->capture_default_str();
     sub->add_option("--shim", options->shim,
                     "library to preload into gateways, which makes system calls fail");
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -138,10 +138,8 @@
     signals_.push_back(std::move(entry));
 }
 
-Timer::Timer(Loop& loop, std::function<void()> what, Urgency urgency)
-    : loop_(loop), what_(std::move(what)), event_(event_new(loop.base(), -1, 0, ring, this)) {
-    if (urgency == Urgency::urgent) event_priority_set(event_, Loop::kUrgentPriority);
-}
+Timer::Timer(Loop& loop, std::function<void()> what)
+    : loop_(loop), what_(std::move(what)), event_(event_new(loop.base(), -1, 0, ring, this)) {}
 
 Timer::~Timer() { event_free(event_); }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -23,9 +23,6 @@
     virtual bool is_owed() const { return false; }
 };
 
-// What comes first when a loop that is behind has several things to do. What is urgent is short and bounded.
-enum class Urgency { urgent, usual };
-
 class Loop : public Clock {
   public:
     Loop();
@@ -107,7 +104,7 @@
 // A timer that can be set again and called off; off at first and once it has rung.
 class Timer {
   public:
-    Timer(Loop& loop, std::function<void()> what, Urgency urgency = Urgency::usual);
+    Timer(Loop& loop, std::function<void()> what);
     ~Timer();
     Timer(const Timer&) = delete;
     Timer& operator=(const Timer&) = delete;
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -92,8 +92,10 @@
     // Each part that comes is waited for anew. A watch is told news only once its answer is whole, so that
     // one has a bound in all.
     void note_progress() {
-        if (!begun_) begun_at_ = loop_.now();
-        begun_ = true;
+        if (!std::exchange(begun_, true)) {
+            begun_at_ = loop_.now();
+            if (!all_.live_) all_.began(*this);
+        }
         Span within = kAnswerWithin;
         if (all_.live_) within = std::min(within, begun_at_ + kWatchAnswerWithin - loop_.now());
         patience_.set(within);
@@ -201,6 +203,15 @@
     return std::any_of(calls_.begin(), calls_.end(), [](const auto& call) { return call->has_begun(); });
 }
 
+// Against several lists that are read beside each other: those that were asked for and have not begun are not
+// wanted for now.
+void Discovery::began(const Call& call) {
+    for (std::size_t n = calls_.size(); n-- > 0;) {
+        if (calls_[n].get() != &call && !calls_[n]->has_begun()) drop(*calls_[n]);
+    }
+    if (again_.is_set()) again_.set({kAgainWhileReceivingMs * 1000});
+}
+
 // The oldest call of which nothing has come makes room. False: there is none.
 bool Discovery::make_room() {
     const auto oldest =
@@ -261,16 +272,19 @@
 
 void Discovery::lost(Call& call, const std::string& why) {
     ++status_.lost;
+    const bool had_begun = call.has_begun();
     drop(call);
+    std::uniform_int_distribution<std::int64_t> soon(0, kAgainLeastMs);
     if (!live_) {
         if (!complained_) watch_is_lost(why);
+        // The others have been given up for it.
+        if (had_begun && !is_receiving()) again_.set({soon(chance_) * 1000});
         return;
     }
     // What has changed meanwhile is not known: a watch that comes late is a new one.
     live_ = false;
     index_ = 0;
     watch_is_lost(why);
-    std::uniform_int_distribution<std::int64_t> soon(0, kAgainLeastMs);
     again_.set({soon(chance_) * 1000});
     events_.missed();
 }
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -52,6 +52,7 @@
     void answered(Call& call, bool keeps_open, const platform::News& news, std::size_t bytes);
     void lost(Call& call, const std::string& why);
     void drop(Call& call);
+    void began(const Call& call);
     bool make_room();
     bool is_receiving() const;
     bool may_wait_longer(const Call& call) const;
--- a/src/node/late_attempts.cpp
+++ b/src/node/late_attempts.cpp
@@ -28,12 +28,6 @@
     attempts_.push_back(std::move(made));
 }
 
-bool LateAttempts::server_is_being_asked(ServerIndex server) const {
-    return std::any_of(attempts_.begin(), attempts_.end(), [server](const Attempt& attempt) {
-        return attempt.call != 0 && attempt.what.server == server;
-    });
-}
-
 bool LateAttempts::is_over(const Attempt& attempt) const {
     const std::uint32_t most = attempt.what.prefill ? kMostAnswersOfPrefill : kMostAnswersOfHandOver;
     return attempt.answered >= most || clock_.now() > attempt.until ||
@@ -44,11 +38,18 @@
     if (call != 0) pool_.cancel_release(std::exchange(call, 0));
 }
 
+void LateAttempts::stop_asking(Attempt& attempt) {
+    if (attempt.call == 0) return;
+    asked_.erase(attempt.what.server);
+    cancel(attempt.call);
+}
+
 void LateAttempts::ask_its_server(Attempt& attempt) {
     const Instant now = clock_.now();
-    if (attempt.call != 0 && now - attempt.asked_at >= kFollowedAnswerWithin) cancel(attempt.call);
-    if (attempt.call != 0 || now < attempt.next_at || server_is_being_asked(attempt.what.server)) return;
+    if (attempt.call != 0 && now - attempt.asked_at >= kFollowedAnswerWithin) stop_asking(attempt);
+    if (attempt.call != 0 || now < attempt.next_at || asked_.count(attempt.what.server) > 0) return;
     attempt.call = pool_.start_release(attempt.what.server, attempt.what.id);
+    if (attempt.call != 0) asked_.insert(attempt.what.server);
     attempt.asked_at = now;
 }
 
@@ -84,7 +85,7 @@
     std::erase_if(attempts_, [this](Attempt& attempt) {
         const bool over = is_over(attempt);
         if (over) {
-            cancel(attempt.call);
+            stop_asking(attempt);
             cancel(attempt.other_call);
         }
         return over;
@@ -102,6 +103,7 @@
         return true;
     }
     mine->call = 0;
+    asked_.erase(mine->what.server);
     if (!answered) {
         mine->next_at = clock_.now() + kAskAgainAfter;
         return true;
--- a/src/node/late_attempts.h
+++ b/src/node/late_attempts.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "core/clock.h"
@@ -49,11 +50,12 @@
     bool find_another(ServerIndex than, ServerIndex& found) const;
     void cancel(ReleaseCallId& call);
     bool is_over(const Attempt& attempt) const;
-    bool server_is_being_asked(ServerIndex server) const;
+    void stop_asking(Attempt& attempt);
 
     const Clock& clock_;
     ReleasePool& pool_;
     std::vector<Attempt> attempts_;
+    std::unordered_set<ServerIndex> asked_;  // one call at a time to each
     std::uint64_t overflows_ = 0;
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -72,13 +72,11 @@
       status_log_(log),
       zones_(terms_.named.zones),
       status_at_(loop.now()),
-      wake_(
-          loop,
-          [this] {
-              loop_.name_event("deadlines and waiting requests");
-              desk_->time_came();
-          },
-          Urgency::urgent),
+      wake_(loop,
+            [this] {
+                loop_.name_event("deadlines and waiting requests");
+                desk_->time_came();
+            }),
       stop_timer_(loop, [this] { look_for_end(); }),
       status_timer_(loop, [this] { log_status(); }) {
     const Sizes sizes = sizes_of(terms_);
@@ -477,6 +475,8 @@
     status.list_calls_lost = list.lost;
     status.releases_owed = upstreams_->owed();
     status.releases_overdue = upstreams_->overdue();
+    status.late_attempts_not_followed = upstreams_->late_attempts().overflows();
+    status.holds_not_booked = desk_->ledger().overflows();
     status.descriptors = clients_->size() + upstreams_->size() + loop_.adopted();
     status_log_.note(status, now - status_at_);
     status_at_ = now;
--- a/src/node/status_log.cpp
+++ b/src/node/status_log.cpp
@@ -51,6 +51,8 @@
               {"list_calls_lost", number(status.list_calls_lost)},
               {"releases_owed", number(status.releases_owed)},
               {"releases_overdue", number(status.releases_overdue)},
+              {"late_attempts_not_followed", number(status.late_attempts_not_followed)},
+              {"holds_not_booked", number(status.holds_not_booked)},
               {"descriptors", number(status.descriptors)}});
 }
 
--- a/src/node/status_log.h
+++ b/src/node/status_log.h
@@ -24,6 +24,8 @@
     std::size_t list_bytes = 0, list_entries = 0;
     std::uint64_t lists_taken = 0, list_calls_lost = 0;
     std::size_t releases_owed = 0, releases_overdue = 0;
+    // What bounds of the program have left out since its start.
+    std::uint64_t late_attempts_not_followed = 0, holds_not_booked = 0;
     std::size_t descriptors = 0;
 };
 
--- a/src/node/upstream_pool.cpp
+++ b/src/node/upstream_pool.cpp
@@ -250,8 +250,7 @@
       bounds_(bounds),
       owner_(owner),
       releases_(loop, static_cast<ReleasePool&>(*this)),
-      look_(
-          loop, [this] { look(); }, Urgency::urgent) {
+      look_(loop, [this] { look(); }) {
     look_.set(kLookEvery);
 }
 
--- a/src/soak/fleet.cpp
+++ b/src/soak/fleet.cpp
@@ -3,8 +3,11 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <random>
 #include <sstream>
 
 namespace copperfront::soak {
@@ -18,6 +21,7 @@
 constexpr Span kPollReady{50000};
 constexpr int kGatewayPort = 18080;
 constexpr int kHosts = 250;
+constexpr std::size_t kGroups = 4;
 constexpr std::int64_t kLongDrain = 3600000000;
 
 constexpr const char* kSettings = R"("settings":{"azs":["a","b"],"zone":"a","balancers":5,
@@ -97,6 +101,7 @@
     std::size_t record = 0;  // of its present life
     std::unique_ptr<ReadyProbe> probe;
     std::unique_ptr<Timer> kill_later;
+    std::unique_ptr<CpuShare> cpu_share;
 };
 
 struct Fleet::Server {
@@ -121,6 +126,7 @@
 }
 
 void Fleet::start() {
+    cold_start_ = options_.listed_servers > 0 && options_.seed % 3 == 0;
     const std::size_t count = options_.prefill_servers + options_.decode_servers;
     for (std::size_t n = 0; n < count; ++n) {
         auto server = std::make_unique<Server>();
@@ -156,13 +162,13 @@
 
 // ---- gateways
 
-void Fleet::write_configuration(std::size_t gateway) const {
+void Fleet::write_configuration(std::size_t gateway) {
     const Gateway& mine = *gateways_[gateway];
     // As a whole or not at all.
     const std::string fresh = mine.configuration + ".new";
     std::ofstream file(fresh);
     file << R"({"name":")" << mine.name << R"(","listen":")" << gateway_address(gateway).text()
-         << R"(","discovery":")" << platform_->discovery().text() << R"(","seed":")"
+         << R"(","discovery":")" << platform_->discovery_of(mine.name).text() << R"(","seed":")"
          << options_.seed * 100 + mine.life << R"(","limits":{"memory_mb":192,"sockets":512},"known":)"
          << platform_->list() << ",\n " << kSettings << "}\n";
     file.close();
@@ -208,10 +214,20 @@
             asked.probe.reset();
             if (asked.life != life || !asked.running) return;
             asked.ready = ready;
+            if (ready) share_cpu(gateway);
             if (!ready) after(kPollReady, [this, gateway] { poll_ready(gateway); });
         });
 }
 
+// On a machine that others use as well.
+void Fleet::share_cpu(std::size_t gateway) {
+    if (options_.least_cpu_share >= 1) return;
+    Gateway& mine = *gateways_[gateway];
+    std::minstd_rand chance(static_cast<std::uint32_t>(options_.seed * 977 + gateway * 31 + mine.life));
+    const double share = std::uniform_real_distribution<double>(options_.least_cpu_share, 1)(chance);
+    mine.cpu_share = std::make_unique<CpuShare>(loop_, processes_, mine.name, share);
+}
+
 void Fleet::gateway_ended(std::size_t gateway, int status) {
     Gateway& mine = *gateways_[gateway];
     GatewayLife& life = records_.gateways[mine.record];
@@ -221,6 +237,7 @@
         violations_in(options_.folder + "/" + mine.name + "." + std::to_string(mine.life) + ".log");
     mine.running = mine.ready = false;
     mine.kill_later.reset();
+    mine.cpu_share.reset();
     after(kRestartAfter, [this, gateway] {
         if (!gateways_[gateway]->running) start_gateway(gateway);
     });
@@ -328,20 +345,47 @@
         Server& started = *servers_[server];
         started.proxy->forward_to(Address::parse(line.substr(ready.size())));
         started.ready = true;
-        platform_->add(started.name, started.role, started.zone, 1 + static_cast<int>(server % 4));
-        platform_->point(started.name, started.proxy->address().text());
+        list_server(server);
     };
     start.ended = [this, server](int) { server_ended(server); };
     processes_.start(std::move(start));
 }
 
+std::vector<std::string> Fleet::names_of(std::size_t server) const {
+    const std::size_t names = std::max<std::size_t>(1, options_.listed_servers / servers_.size());
+    std::vector<std::string> all{servers_[server]->name};
+    for (std::size_t n = 1; n < names; ++n) all.push_back(servers_[server]->name + "-" + std::to_string(n));
+    return all;
+}
+
+void Fleet::list_server(std::size_t server) {
+    const Server& mine = *servers_[server];
+    const bool again = mine.life > 1;
+    // It is no longer withdrawn.
+    if (auto& spans = records_.withdrawn[mine.name]; !spans.empty()) {
+        spans.back().until = std::min(spans.back().until, machine_clock_us());
+    }
+    std::vector<standin::Platform::Listed> entries;
+    for (const std::string& name : names_of(server)) {
+        standin::Platform::Listed entry;
+        entry.name = name;
+        entry.zone = mine.zone;
+        entry.address = mine.proxy->address().text();
+        entry.role = mine.role;
+        entry.group = 1 + static_cast<int>((server + entries.size()) % kGroups);
+        entry.since_ms = again || cold_start_ ? loop_.now().us / 1000 : 0;
+        entries.push_back(entry);
+    }
+    platform_->list(entries);
+}
+
 void Fleet::server_ended(std::size_t server) {
     Server& mine = *servers_[server];
     mine.running = mine.ready = false;
     if (stopping_) return;
     after(kServerGoneNotice, [this, server] {
         if (stopping_ || servers_[server]->running) return;
-        platform_->set(servers_[server]->name, "removed");
+        platform_->set_all(names_of(server), "removed");
         start_server(server);
     });
 }
@@ -370,20 +414,42 @@
     mine.proxy->reset(1.0);
 }
 
-void Fleet::drain_server(std::size_t server, Span span) {
+void Fleet::drain_server(std::size_t server, Span span) { withdraw(server, "draining", span); }
+
+void Fleet::withdraw(std::size_t server, const std::string& status, Span span) {
     Server& mine = *servers_[server];
     if (!mine.ready || mine.draining) return;
     mine.draining = true;
     const Microseconds now = machine_clock_us();
-    records_.withdrawn[mine.name].push_back({now, now + span.us});
-    platform_->set(mine.name, "draining");
+    platform_->set_all(names_of(server), status);
+    records_.withdrawn[mine.name].push_back({now, now + span.us, platform_->list_index()});
     after(span, [this, server] {
         Server& drained = *servers_[server];
         drained.draining = false;
-        if (drained.ready) platform_->set(drained.name, "up");
+        if (drained.ready) platform_->set_all(names_of(server), "up");
     });
 }
 
+void Fleet::replace_quarter(std::size_t first, Span step) {
+    const std::size_t count = std::max<std::size_t>(1, servers_.size() / 4);
+    const Span out = step * static_cast<double>(count + 2);
+    for (std::size_t n = 0; n < count; ++n) {
+        const std::size_t server = (first + n) % servers_.size();
+        after(step * static_cast<double>(n), [this, server, out, removed = n % 2 == 1] {
+            withdraw(server, removed ? "removed" : "draining", out);
+        });
+    }
+}
+
+void Fleet::note_written_lists() {
+    const Microseconds clock_offset = machine_clock_us() - loop_.now().us;
+    for (const auto& list : platform_->written_lists()) {
+        if (list.gateway.empty() || list.whole_at.us == 0) continue;
+        records_.told.push_back({static_cast<std::size_t>(std::atoi(list.gateway.c_str() + 1)),
+                                 list.whole_at.us + clock_offset, list.index});
+    }
+}
+
 void Fleet::cut_off_server(std::size_t server, Span span) {
     note_fault(server, span);
     servers_[server]->proxy->cut_off(true);
@@ -419,6 +485,7 @@
 void Fleet::heal() {
     timers_.clear();
     platform_->discovery_is_silent(false);
+    platform_->write_whole_lists_in_pieces(1, {});
     for (const auto& server : servers_) {
         signal(server->name, SIGCONT);
         server->proxy->cut_off(false);
--- a/src/soak/fleet.h
+++ b/src/soak/fleet.h
@@ -10,6 +10,7 @@
 
 #include "day/process.h"
 #include "net/loop.h"
+#include "soak/cpu_share.h"
 #include "soak/fault_proxy.h"
 #include "soak/load_client.h"
 #include "soak/records.h"
@@ -23,6 +24,10 @@
     std::string folder;           // for configurations, logs and records
     std::uint32_t seed = 1;
     std::size_t gateways = 5, prefill_servers = 12, decode_servers = 12;
+    // Entries of the list in all, where that is more than there are servers: each server then stands in it
+    // under many names.
+    std::size_t listed_servers = 0;
+    double least_cpu_share = 1;  // of a core; each life of a gateway draws its own from there to one
     double server_fault_share = 0.05;
     std::string shim;                // a library to preload into gateways; empty: none
     std::string log_level = "info";  // of gateways
@@ -65,6 +70,9 @@
     // Out of service for a while, as discovery tells.
     void drain_server(std::size_t server, Span span);
     void cut_off_server(std::size_t server, Span span);
+    // A quarter of the servers drains in steps, is taken out of the list for a part of the time, and comes
+    // back.
+    void replace_quarter(std::size_t first, Span step);
     // It runs, takes calls and says nothing of them for a while.
     void mute_server(std::size_t server);
     void silence_connections(std::size_t server, double share);
@@ -72,6 +80,10 @@
     void slow_connections(std::size_t server, Span delay, Span span);
 
     // ---- faults of discovery
+    void write_lists_slowly(std::size_t pieces, Span apart) {
+        platform_->write_whole_lists_in_pieces(pieces, apart);
+    }
+    void indent_lists(bool indent) { platform_->indent_lists(indent); }
     void silence_discovery(Span span);
     void silence_watches() { platform_->watches_fall_silent(); }
     void reset_watches() { platform_->watches_are_reset(); }
@@ -80,6 +92,8 @@
 
     // Ends every fault that is under way.
     void heal();
+    // When discovery wrote what to which gateway.
+    void note_written_lists();
 
   private:
     struct Gateway;
@@ -87,11 +101,15 @@
 
     void start_gateway(std::size_t gateway);
     void start_server(std::size_t server);
-    void write_configuration(std::size_t gateway) const;
+    void write_configuration(std::size_t gateway);
+    void share_cpu(std::size_t gateway);
     void gateway_ended(std::size_t gateway, int status);
     void server_ended(std::size_t server);
     void poll_ready(std::size_t gateway);
     void note_fault(std::size_t server, Span span);
+    std::vector<std::string> names_of(std::size_t server) const;
+    void list_server(std::size_t server);
+    void withdraw(std::size_t server, const std::string& status, Span span);
     void after(Span span, std::function<void()> what);
     void signal(const std::string& process, int which) { processes_.signal(process, which); }
 
@@ -103,6 +121,7 @@
     std::unique_ptr<standin::Platform> platform_;
     std::vector<std::unique_ptr<Timer>> timers_;
     bool stopping_ = false;
+    bool cold_start_ = false;  // the list tells all servers as started just now
     day::Processes processes_;
 };
 
--- a/src/soak/records.h
+++ b/src/soak/records.h
@@ -72,6 +72,14 @@
 // A span in which something was done to a process or to the way to it.
 struct FaultSpan {
     Microseconds from = 0, until = 0;
+    std::uint64_t list_index = 0;  // of the list that tells it, where one does
+};
+
+// Discovery wrote a list, or changes of one, to a gateway.
+struct ListWritten {
+    std::size_t gateway = 0;
+    Microseconds at = 0;
+    std::uint64_t index = 0;
 };
 
 struct GatewayLife {
@@ -91,6 +99,7 @@
         server_faults;  // stopped, cut off or slow to reach, by server
     std::map<std::string, std::vector<Microseconds>> server_deaths;  // what a process held has gone with it
     std::map<std::string, std::vector<FaultSpan>> withdrawn;  // draining or removed, as the list had it
+    std::vector<ListWritten> told;
     Microseconds ended = 0;
 };
 
--- a/src/soak/soak_run.cpp
+++ b/src/soak/soak_run.cpp
@@ -49,8 +49,13 @@
 // Draws faults from the seed and does them, several at once.
 class FaultSchedule {
   public:
-    FaultSchedule(Loop& loop, Fleet& fleet, Records& records, std::uint32_t seed)
-        : loop_(loop), fleet_(fleet), records_(records), chance_(seed), next_(loop, [this] { strike(); }) {
+    FaultSchedule(Loop& loop, Fleet& fleet, Records& records, std::uint32_t seed, bool large_lists)
+        : loop_(loop),
+          fleet_(fleet),
+          records_(records),
+          faults_(large_lists ? kFaultsOfLargeLists : kUsualFaults),
+          chance_(seed),
+          next_(loop, [this] { strike(); }) {
         has_crowd_ = std::uniform_real_distribution<double>(0, 1)(chance_) < kCrowdShare;
     }
     void start() { next_.set(kMs * 300); }
@@ -83,8 +88,13 @@
         mute_role,
         signal_series,
         stalled_clients,
+        // Of large lists.
+        replace_quarter,
+        lists_come_slowly,
+        lists_in_other_form,
     };
-    static constexpr int kFaults = static_cast<int>(Fault::stalled_clients) + 1;
+    static constexpr int kUsualFaults = static_cast<int>(Fault::stalled_clients) + 1;
+    static constexpr int kFaultsOfLargeLists = static_cast<int>(Fault::lists_in_other_form) + 1;
 
     std::int64_t between(std::int64_t least, std::int64_t most) {
         return std::uniform_int_distribution<std::int64_t>(least, most)(chance_);
@@ -100,7 +110,7 @@
     }
 
     void strike() {
-        strike_with(static_cast<Fault>(between(0, kFaults - 1)));
+        strike_with(static_cast<Fault>(between(0, faults_ - 1)));
         next_.set(span(50, 600));
     }
 
@@ -152,6 +162,12 @@
                 return fleet_.signal_series(any_gateway());
             case Fault::stalled_clients:
                 return come_and_stall();
+            case Fault::replace_quarter:
+                return fleet_.replace_quarter(any_server(), span(100, 400));
+            case Fault::lists_come_slowly:
+                return fleet_.write_lists_slowly(static_cast<std::size_t>(between(1, 30)), span(1, 50));
+            case Fault::lists_in_other_form:
+                return fleet_.indent_lists(between(0, 1) == 0);
         }
     }
 
@@ -200,6 +216,7 @@
     Loop& loop_;
     Fleet& fleet_;
     Records& records_;
+    const int faults_;
     std::minstd_rand chance_;
     bool has_crowd_ = false;
     std::unique_ptr<Crowd> crowd_;
@@ -277,6 +294,8 @@
     fleet_options.gateways = options.gateways;
     fleet_options.prefill_servers = options.prefill_servers;
     fleet_options.decode_servers = options.decode_servers;
+    fleet_options.listed_servers = options.listed_servers;
+    fleet_options.least_cpu_share = options.least_cpu_share;
     fleet_options.shim = options.shim;
     fleet_options.log_level = options.log_level;
     {
@@ -293,7 +312,7 @@
                                              options.seed * 131 + static_cast<std::uint32_t>(n)));
             clients.back()->start();
         }
-        FaultSchedule faults(loop, fleet, records, options.seed);
+        FaultSchedule faults(loop, fleet, records, options.seed, options.listed_servers > 0);
         faults.start();
         wait_for(
             loop, [] { return false; }, kMs * (options.seconds * 1000));
@@ -311,6 +330,7 @@
         fleet.stop_all_gateways();
         wait_for(
             loop, [&] { return fleet.gateways_have_exited(); }, kExitWithin);
+        fleet.note_written_lists();
     }
     read_server_records(options.folder, records);
     write_client_records(options.folder, records);
--- a/src/soak/soak_run.h
+++ b/src/soak/soak_run.h
@@ -16,6 +16,8 @@
     std::uint32_t seed = 1;
     double seconds = 10;  // under faults
     std::size_t gateways = 5, prefill_servers = 12, decode_servers = 12, clients = 40;
+    std::size_t listed_servers = 0;  // entries of the list; 0: as many as there are servers
+    double least_cpu_share = 1;      // of a core, for a gateway
     std::string shim;
     std::string log_level = "info";
 };
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -61,11 +61,19 @@
     // Listens at once, and is in the list from now on.
     void add(const std::string& name, Role role, const std::string& zone, int group,
              const std::string& listen = "127.0.0.1:0");
+    // The list has this server from now on, whose address somebody else listens at.
+    struct Listed {
+        std::string name, zone, address;
+        Role role = Role::reader;
+        int group = 0;
+        std::int64_t since_ms = 0;
+    };
+    void list(const std::vector<Listed>& servers);
     void set(const std::string& name, const std::string& status);  // up, draining or removed
     // The same for many at once, told as one change.
     void set_all(const std::vector<std::string>& names, const std::string& status);
     // When its process started, as the list has it; 0: long ago. It is not told as a change.
-    void set_start(const std::string& name, std::int64_t since_ms) { servers_.at(name).since_ms = since_ms; }
+    void set_start(const std::string& name, std::int64_t since_ms);
     // The list names another address for it, where somebody else may listen.
     void point(const std::string& name, const std::string& address);
     // The process ends: its connections are reset and new ones refused; as another start under the same name
@@ -74,6 +82,8 @@
     void next(const std::string& name, Fault fault, int times = 1);
 
     Address discovery() const;
+    // Discovery as one gateway has it, under an address of its own.
+    Address discovery_of(const std::string& gateway);
     // Another address for discovery, the old one gone.
     void move_discovery();
     // The answer to the next call to discovery, in place of the list.
@@ -86,7 +96,7 @@
         list_pieces_ = pieces;
         pieces_apart_ = apart;
     }
-    void indent_lists(bool indent) { indents_lists_ = indent; }
+    void indent_lists(bool indent);
     // Its port refuses connections, and open ones are reset.
     void discovery_is_down(bool down);
     // Of the calls that are open now: none is ever answered, or each is reset.
@@ -98,11 +108,13 @@
     const std::vector<Heard>& heard() const { return heard_; }
     // Answers of discovery in the order in which their first bytes were written.
     struct WrittenList {
-        Instant at;
+        Instant at, whole_at;  // whole_at: of its last byte; zero: it was not written
+        std::string gateway;   // that it was written to; empty: at the address that is nobody's own
         std::uint64_t index = 0;
         bool whole = false;
         std::size_t bytes = 0;
     };
+    std::uint64_t list_index() const { return index_; }
     const std::vector<WrittenList>& written_lists() const { return written_lists_; }
     std::size_t count(const std::string& method, const std::string& server = "") const;
     // Requests for which a state is held.
@@ -121,11 +133,13 @@
         std::unique_ptr<Listener> listener;
         std::string address;
         std::deque<Fault> faults;
+        std::string entry, indented_entry;  // in the list
     };
     Fault fault_for(const std::string& server);
     void changed(const std::vector<std::string>& names);
     std::string entries(const std::vector<std::string>& names) const;
-    void open_discovery(const Address& at);
+    std::unique_ptr<Listener> open_discovery(const std::string& gateway, const Address& at);
+    void write_entry(Server& server) const;
     void drop(Line& line, bool reset);
     void drop(Watcher& watcher, bool reset = false);
 
@@ -147,6 +161,7 @@
     std::map<Watcher*, std::unique_ptr<Watcher>> watchers_;
     std::unique_ptr<Listener> discovery_;  // null: down
     Address discovery_address_;
+    std::map<std::string, std::unique_ptr<Listener>> discovery_of_gateways_;
 };
 
 }  // namespace copperfront::standin
--- a/tests/node/large_fleet_test.cpp
+++ b/tests/node/large_fleet_test.cpp
@@ -105,6 +105,22 @@
     EXPECT_LE(fleet.most_in_log("longest_event_ms"), 5.0);
 }
 
+// Against lists that are read before all else, so that answers wait until the last of them has come.
+TEST(LargeFleet, ListsThatComeOneAfterAnotherDelayNoAnswer) {
+    LargeFleet fleet({.servers = kMostServers, .share = 0.1});
+    fleet.platform.write_whole_lists_in_pieces(10, ms(20));
+    fleet.start();
+    for (int n = 0; n < 15; ++n) {
+        fleet.platform.watches_are_reset();
+        fleet.send_requests(4, ms(50));
+    }
+    EXPECT_TRUE(fleet.wait_for_answers(ms(4000)));
+    EXPECT_EQ(fleet.completed(), 60u);
+    std::printf("answers after %.0f ms (median) and %.0f ms (99%%)\n", fleet.answer_time(0.5).ms(),
+                fleet.answer_time(0.99).ms());
+    EXPECT_LE(fleet.answer_time(0.99), ms(1000));
+}
+
 // Against signals that each have the whole list of the settings read again.
 TEST(LargeFleet, ReloadsInARowDelayNoAnswer) {
     LargeFleet fleet({.servers = kMostServers, .share = 0.2});
--- a/tests/node/watch_test.cpp
+++ b/tests/node/watch_test.cpp
@@ -106,6 +106,33 @@
     w.until("it is known", [&] { return w.node->knows("w9"); });
 }
 
+// Against a list that stops in its middle and keeps the next from being asked for.
+TEST(Watch, ListThatStopsInItsMiddleIsAskedForAnew) {
+    ScriptedDiscovery w;
+    const std::string text = response_of(200, "", w.list(7, true, w.entry("w9", "up")));
+    w.agent.send(w.call(0).connection, text.substr(0, text.size() / 2));
+    const Instant stopped = w.loop.now();
+    w.until("the next call", [&] { return w.calls() >= 2; });
+    w.answer(w.agent.requests().back(), w.list(8, true, w.entry("w8", "up")));
+    w.until("it is known", [&] { return w.node->knows("w8"); });
+    EXPECT_LT(w.loop.now() - stopped, ms(2000));
+}
+
+// Against several lists that are read beside each other, each of them for nothing.
+TEST(Watch, ListOnItsWayIsNotAskedForTenTimesASecond) {
+    ScriptedDiscovery w;
+    w.pass(ms(500));
+    const ScriptedServer::Request latest = w.agent.requests().back();
+    const std::string text = response_of(200, "", w.list(7, true, w.entry("w9", "up")));
+    const std::size_t asked = w.calls();
+    for (std::size_t at = 0; at < text.size(); at += text.size() / 15) {
+        w.agent.send(latest.connection, text.substr(at, text.size() / 15));
+        w.pass(ms(100));
+    }
+    w.until("it is known", [&] { return w.node->knows("w9"); });
+    EXPECT_LE(w.calls() - asked, 4u) << "in 1.5 s, the watch that follows among them";
+}
+
 // Against a drain that waits for the rest of a list which comes slowly.
 TEST(Watch, RemovalBindsBeforeTheRestOfTheAnswerHasCome) {
     ScriptedDiscovery w;
