A reset behind many bytes is no orderly end

Found on reading the change that takes at once what the system holds: where more than 4 KB had come, that read met the reset, which the system tells once; the event library then saw an end, so an answer without a length that was cut could pass for whole. The error is kept and told.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -186,7 +186,9 @@
     const std::size_t most = bounds_.held_bytes > 0 ? bounds_.held_bytes : kMostReadAtOnce;
     evbuffer* const in = bufferevent_get_input(events_);
     evbuffer_unfreeze(in, 0);
-    while (held() < most && evbuffer_read(in, bufferevent_getfd(events_), -1) > 0) continue;
+    int read = 1;
+    while (held() < most && read > 0) read = evbuffer_read(in, bufferevent_getfd(events_), -1);
+    if (read < 0 && !passes_by_itself(errno)) read_error_ = errno;
     evbuffer_freeze(in, 0);
 }
 
@@ -293,9 +295,10 @@
         stream.owner_->stream_made(stream);
         return;
     }
-    const std::string error = std::strerror(number);
+    const std::string error = std::strerror(stream.read_error_ != 0 ? stream.read_error_ : number);
     if (!stream.made_) return stream.close(Closing::not_made, error);
-    if (what & BEV_EVENT_EOF) return stream.close(Closing::peer_ended, "the peer closed the connection");
+    const bool ended = (what & BEV_EVENT_EOF) != 0 && stream.read_error_ == 0;
+    if (ended) return stream.close(Closing::peer_ended, "the peer closed the connection");
     stream.close(Closing::broken, error);
 }
 
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -107,7 +107,8 @@
     bool made_ = false, closed_ = false, flushing_ = false, polite_ = false, end_wanted_ = false,
          done_ = false;
     bool paused_ = false, urgent_ = false;
-    short stopped_ = 0;  // directions that wait for the system to have memory again
+    int read_error_ = 0;  // that read_more has met: the system tells it once
+    short stopped_ = 0;   // directions that wait for the system to have memory again
     int stalled_ = 0;
     std::size_t dropped_ = 0, still_queued_ = 0;
     std::unique_ptr<Timer> last_words_, again_;
