--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -4,6 +4,7 @@
 
 #include "rules.h"
 #include "rules_tuning.h"
+#include "sabotage.h"
 
 namespace copperfront {
 
@@ -121,7 +122,9 @@
         const auto [i, serial] = line.front();
         line.pop_front();
         Query& q = queries_[i];
-        if (q.serial != serial || q.stage != stage || start(i)) continue;
+        if (q.serial != serial || q.stage != stage) continue;
+        const bool is_tried = !is_sabotaged(Sabotage::waiting_tried_once) || now_ == q.came;
+        if (is_tried && start(i)) continue;
         if (now_ + quick > of_use_until(q) && now_ > q.came) {
             host_.ends(i, "it would be settled too late");
             end(i, terms_.max_stay_away);
--- a/src/core/sabotage.h
+++ b/src/core/sabotage.h
@@ -28,6 +28,12 @@
     exit_with_work_left,
     late_requests_taken,  // after SIGTERM
     stale_connection_reused,
+    list_bound_small,  // 256 KiB
+    list_given_up_early,
+    loop_stands_still,  // at each list
+    waiting_tried_once,
+    change_between_watches_lost,
+    index_handed_on_early,  // of a removed server that still owes something
 };
 
 #ifdef COPPERFRONT_SABOTAGE
@@ -47,7 +53,13 @@
                                                  "silent_watch_trusted",
                                                  "exit_with_work_left",
                                                  "late_requests_taken",
-                                                 "stale_connection_reused"};
+                                                 "stale_connection_reused",
+                                                 "list_bound_small",
+                                                 "list_given_up_early",
+                                                 "loop_stands_still",
+                                                 "waiting_tried_once",
+                                                 "change_between_watches_lost",
+                                                 "index_handed_on_early"};
 
 inline bool is_sabotaged(Sabotage fault) {
     static const char* const chosen = std::getenv("COPPERFRONT_SABOTAGE_FAULT");
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -29,6 +29,7 @@
 constexpr int kAgainWhileReceivingMs = 1000;
 // As many as can be open before the first of them is through: no more connections than that at once.
 constexpr std::size_t kMostCalls = kAnswerWithin.us / 1000 / kAgainLeastMs + 1 + kMostSlowCalls;
+constexpr Span kSabotagedWithin{100000};
 constexpr std::size_t kHeldBytes = 64 << 10;  // read in one turn of the loop
 
 }  // namespace
@@ -97,6 +98,7 @@
             if (!all_.live_) all_.began(*this);
         }
         Span within = kAnswerWithin;
+        if (is_sabotaged(Sabotage::list_given_up_early)) within = begun_at_ + kSabotagedWithin - loop_.now();
         if (all_.live_) within = std::min(within, begun_at_ + kWatchAnswerWithin - loop_.now());
         patience_.set(within);
     }
@@ -267,6 +269,9 @@
         drop(call);
         open_call();
     }
+    const bool lost_change =
+        is_sabotaged(Sabotage::change_between_watches_lost) && !news.whole && status_.taken % 2 == 0;
+    if (lost_change) return;
     if (first || news.whole || !news.entries.empty()) events_.told(news);
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,7 +1,9 @@
 #include "node/node.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstdio>
+#include <thread>
 
 #include "core/sabotage.h"
 #include "http/forwarding.h"
@@ -25,6 +27,8 @@
 constexpr Span kClientsEndWithin{2800000};  // after SIGTERM, with nothing else left
 // What a server that hangs may still leave is waited for so long after SIGTERM.
 constexpr Span kStayForLateAttempts{3000000};
+constexpr std::size_t kSabotagedListBytes = 256 << 10;
+constexpr std::chrono::milliseconds kSabotagedPause{500};
 constexpr Span kStatusEvery{1000000};
 constexpr Span kLookForEnd{20000}, kLastWords{100000};
 
@@ -44,6 +48,10 @@
     return static_cast<std::size_t>(mb * part * (1 << 20));
 }
 
+std::size_t most_list_bytes(const platform::NodeTerms& terms) {
+    return is_sabotaged(Sabotage::list_bound_small) ? kSabotagedListBytes : memory_part(terms, kListPart);
+}
+
 ClientConnections::Bounds front_bounds(const platform::NodeTerms& terms) {
     ClientConnections::Bounds bounds;
     bounds.connections = sizes_of(terms).clients;
@@ -92,8 +100,8 @@
     };
     events.withdrawn = [this](const platform::News& news) { list_told(news); };
     events.missed = [this] { desk_->list_missed(); };
-    discovery_ = std::make_unique<Discovery>(loop, std::move(events), terms_.seed,
-                                             memory_part(terms_, kListPart), log);
+    discovery_ =
+        std::make_unique<Discovery>(loop, std::move(events), terms_.seed, most_list_bytes(terms_), log);
     Outside& outside = *this;
     desk_ = std::make_unique<Desk>(terms_.core, outside, terms_.seed);
     desk_->limits_changed(std::vector<RouteLimits>{limits()}, terms_.core.gateways);
@@ -372,7 +380,8 @@
     ServerIndex index = static_cast<ServerIndex>(known_.size());
     // Another start is what tells the rules that it is another server.
     const auto free = std::find_if(removed_.begin(), removed_.end(), [&](ServerIndex s) {
-        return known_[s].born != started && upstreams_->is_idle(s);
+        const bool idle = upstreams_->is_idle(s) || is_sabotaged(Sabotage::index_handed_on_early);
+        return known_[s].born != started && idle;
     });
     if (free != removed_.end()) {
         index = *free;
@@ -411,6 +420,7 @@
 
 void Node::list_told(const platform::News& news) {
     loop_.name_event("list");
+    if (is_sabotaged(Sabotage::loop_stands_still)) std::this_thread::sleep_for(kSabotagedPause);
     std::vector<Listing> listings;
     std::vector<bool> named(known_.size(), false);
     for (const platform::Entry& e : news.entries) {
--- a/src/node/status_log.h
+++ b/src/node/status_log.h
@@ -1,6 +1,6 @@
 // One line a second on how the gateway as a whole is doing, where anything happened in it: the longest turn
 // of its loop, its share of the processor, what waits, and how old its list of servers is. A long turn is a
-// warning. Names of fields are documented in docs/operators/gateway.md, as alarms are set on them.
+// warning. Names of fields are documented in docs/operators/platform.md, as alarms are set on them.
 #pragma once
 
 #include <cstddef>
