A late prefill is released through others after its server has left the list

Cause: an attempt that was not heard to end was followed only where its server can be reached; one that is out of the list may run on. Change: others are told every 0.7 s for 10 s. The test fails without it (no third release).

--- a/src/core/release_policy.h
+++ b/src/core/release_policy.h
@@ -26,8 +26,9 @@
 
 // An attempt that ended unheard at a server which has not been heard from since.
 inline constexpr Span kFollowedAtMost{30000000};
-inline constexpr Span kFollowedAnswerWithin{600000};  // else it is asked on another connection
-inline constexpr Span kAskAgainAfter{500000};         // where the connection failed
+inline constexpr Span kFollowedAfterRemoval{10000000};  // where its server is no longer in the list
+inline constexpr Span kFollowedAnswerWithin{600000};    // else it is asked on another connection
+inline constexpr Span kAskAgainAfter{500000};           // where the connection failed
 // Once its server answers, a prefill may take a while: a release after the first time, and then in steps that
 // are shorter than a state may be held. A hand-over is over as soon as the server sees its close.
 inline constexpr Span kFirstReleaseAfter{250000}, kNextReleaseAfter{700000};
--- a/src/node/late_attempts.cpp
+++ b/src/node/late_attempts.cpp
@@ -30,8 +30,16 @@
 
 bool LateAttempts::is_over(const Attempt& attempt) const {
     const std::uint32_t most = attempt.what.prefill ? kMostAnswersOfPrefill : kMostAnswersOfHandOver;
-    return attempt.answered >= most || clock_.now() > attempt.until ||
-           !pool_.is_reachable(attempt.what.server);
+    return attempt.answered >= most || clock_.now() > attempt.until;
+}
+
+void LateAttempts::note_removal(Attempt& attempt) {
+    if (pool_.is_reachable(attempt.what.server)) {
+        attempt.removed_at = {};
+    } else if (attempt.removed_at.us == 0) {
+        attempt.removed_at = clock_.now();
+        attempt.until = std::min(attempt.until, clock_.now() + kFollowedAfterRemoval);
+    }
 }
 
 void LateAttempts::cancel(ReleaseCallId& call) {
@@ -48,6 +56,7 @@
     const Instant now = clock_.now();
     if (attempt.call != 0 && now - attempt.asked_at >= kFollowedAnswerWithin) stop_asking(attempt);
     if (attempt.call != 0 || now < attempt.next_at || asked_.count(attempt.what.server) > 0) return;
+    if (attempt.removed_at.us != 0) return;
     attempt.call = pool_.start_release(attempt.what.server, attempt.what.id);
     if (attempt.call != 0) asked_.insert(attempt.what.server);
     attempt.asked_at = now;
@@ -77,6 +86,7 @@
 void LateAttempts::look() {
     for (Attempt& attempt : attempts_) {
         if (is_over(attempt)) continue;
+        note_removal(attempt);
         // What is sent now could take the state that another attempt leaves.
         if (pool_.ledger().is_attempt_out(attempt.what.key)) continue;
         ask_its_server(attempt);
--- a/src/node/late_attempts.h
+++ b/src/node/late_attempts.h
@@ -2,7 +2,8 @@
 // the call in its socket, or in hand: a reset does not take that back. Once it runs again a prefill leaves a
 // state that nobody wants, and a hand-over has waited for one up to then. So the server is asked with a
 // release until it answers, and told again while the attempt may still end; meanwhile another server is told
-// in steps shorter than a state may be held.
+// in steps shorter than a state may be held. A server that the list no longer has may run on as well; it
+// can't be asked, so others are told for a while.
 #pragma once
 
 #include <cstdint>
@@ -40,7 +41,8 @@
     struct Attempt {
         Followed what;
         Instant until, next_at, asked_at;
-        ReleaseCallId call = 0;        // to its own server
+        Instant removed_at;      // when its server was first seen to be out of the list; zero: it is not
+        ReleaseCallId call = 0;  // to its own server
         ReleaseCallId other_call = 0;  // to another one
         Instant other_at;
         std::uint32_t answered = 0;
@@ -51,6 +53,7 @@
     void cancel(ReleaseCallId& call);
     bool is_over(const Attempt& attempt) const;
     void stop_asking(Attempt& attempt);
+    void note_removal(Attempt& attempt);
 
     const Clock& clock_;
     ReleasePool& pool_;
--- a/src/node/releases.cpp
+++ b/src/node/releases.cpp
@@ -163,7 +163,7 @@
     for (const HoldLedger::UnheardAttempt& attempt : result.unheard) {
         const UnheardAttemptServer server{attempt.over_at, pool_.last_heard(attempt.server),
                                           pool_.hung_until(attempt.server)};
-        if (may_end_late(server) && pool_.is_reachable(attempt.server)) {
+        if (may_end_late(server)) {
             late_attempts_.follow({attempt.server, release.key, release.id, attempt.prefill});
         }
     }
--- a/tests/node/release_test.cpp
+++ b/tests/node/release_test.cpp
@@ -174,6 +174,25 @@
         ms(3000));
 }
 
+// A server that the list no longer has may run on and end what it has in hand, its state with it.
+TEST(Release, OfALateReadIsRepeatedElsewhereAfterItsServerWasRemoved) {
+    ScriptedWorld w;
+    auto client = w.client();
+    client->say(w.call(w.fresh(), "300"));
+    w.wait_for_post(w.prefill, 1);
+    w.platform.set("r1", "removed");
+    w.wait_for_list();
+    w.until("a final answer", [&] { return client->status() != 0; });
+    std::size_t at_decode = 0;
+    w.until(
+        "releases elsewhere, the usual two and two more",
+        [&] {
+            w.answer_releases(w.decode, at_decode);
+            return w.decode.count("DELETE") + w.platform.count("DELETE") >= 4;
+        },
+        ms(4000));
+}
+
 INSTANTIATE_TEST_SUITE_P(EachEffect, HandOverNeverRead, testing::Values("repeatable", "once"),
                          [](const auto& param) { return std::string(param.param); });
 
