A request's time runs from when the system received it, not from when the loop read it

Cause: the arrival was noted when the bytes were read. Change: the system tells how long ago it received the newest bytes of the connection (TCP_INFO); where it does not, nothing changes.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -159,6 +159,13 @@
     return !closed_ && made_ && held() == 0 && pending_in_system() == Pending::nothing;
 }
 
+Span Stream::since_received() const {
+    tcp_info info{};
+    socklen_t length = sizeof info;
+    if (getsockopt(bufferevent_getfd(events_), IPPROTO_TCP, TCP_INFO, &info, &length) != 0) return {};
+    return {std::int64_t{info.tcpi_last_data_recv} * 1000};
+}
+
 void Stream::pause_reading(bool pause) {
     paused_ = pause;
     if (pause)
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -70,6 +70,9 @@
     // Whether nothing has come that has not been taken, asked of the system as well: neither bytes nor an
     // end.
     bool is_quiet() const;
+    // How long ago the system received the newest bytes of the peer, which the loop may come to much later;
+    // nothing where it does not tell.
+    Span since_received() const;
     void pause_reading(bool pause);
     // Where the loop is behind, what comes on this stream is read before what comes on others, and then waits
     // until some of these have had their turn.
--- a/src/node/client_connections.cpp
+++ b/src/node/client_connections.cpp
@@ -72,7 +72,7 @@
 
     void bytes_came(Stream&) override {
         if (taken_ + stream_->held() > arrivals_.newest())
-            arrivals_.note(taken_ + stream_->held(), all_.loop_.now());
+            arrivals_.note(taken_ + stream_->held(), all_.loop_.now() - stream_->since_received());
         // Within a call more may come to an end than one message; each goes its way before the next is read.
         while (stage_ == Stage::quiet || stage_ == Stage::calling) {
             const std::string_view bytes = stream_->front();
--- a/tests/node/pipelined_test.cpp
+++ b/tests/node/pipelined_test.cpp
@@ -1,4 +1,8 @@
-// Requests that wait on their connection behind an earlier one: their time runs from when they came.
+// Requests that wait on their connection behind an earlier one, or in the system while the loop is behind:
+// their time runs from when they came.
+#include <chrono>
+#include <thread>
+
 #include "scripted_world.h"
 
 namespace copperfront {
@@ -40,5 +44,18 @@
     EXPECT_EQ(w.prefill.count("POST"), 1u);
 }
 
+// Against a loop that is behind, or a process that was stopped, and takes a request for new.
+TEST(RequestThatLayUnread, TellsServersWhatIsLeftSinceItCame) {
+    for (const bool on_new_connection : {true, false}) {
+        ScriptedWorld w;
+        auto client = std::make_unique<RawClient>(w.node->address());
+        if (!on_new_connection) w.pass(ms(50));
+        client->say(w.call(w.fresh(), "2000"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(500));
+        w.wait_for_post(w.prefill, 1);
+        EXPECT_LE(told_ms(w.last(w.prefill)), 2000 - 500 + kToldSlackMs);
+    }
+}
+
 }  // namespace
 }  // namespace copperfront
