--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -26,7 +26,7 @@
 // other in less than the shortest grace of a drain, and none is given up for the next, so that a slow one is
 // heard.
 constexpr int kAgainLeastMs = 60, kAgainMostMs = 120;
-constexpr int kAgainWhileReceivingMs = 1000;
+constexpr Span kAgainWhileReceiving{1000000};
 // As many as can be open before the first of them is through: no more connections than that at once.
 constexpr std::size_t kMostCalls = kAnswerWithin.us / 1000 / kAgainLeastMs + 1 + kMostSlowCalls;
 constexpr Span kSabotagedWithin{100000};
@@ -117,8 +117,9 @@
     }
 
     std::string trouble() const {
-        if (message_->trouble() != http::Trouble::body_too_long)
+        if (message_->trouble() != http::Trouble::body_too_long) {
             return "an answer that can't be read: " + message_->what();
+        }
         return "a list of over " + std::to_string(all_.most_bytes_) +
                " bytes, which is more than the gateway's memory allows";
     }
@@ -142,8 +143,9 @@
         if (head.status / 100 == 1) return begin_answer();
         message_.reset();
         patience_.off();
-        if (head.status != 200)
+        if (head.status != 200) {
             return all_.lost(*this, "an answer with status " + std::to_string(head.status));
+        }
         platform::News news;
         const std::size_t bytes = reader_.bytes();
         try {
@@ -211,7 +213,7 @@
     for (std::size_t n = calls_.size(); n-- > 0;) {
         if (calls_[n].get() != &call && !calls_[n]->has_begun()) drop(*calls_[n]);
     }
-    if (again_.is_set()) again_.set({kAgainWhileReceivingMs * 1000});
+    if (again_.is_set()) again_.set(kAgainWhileReceiving);
 }
 
 // The oldest call of which nothing has come makes room. False: there is none.
@@ -242,7 +244,7 @@
     if (live_) return;
     // Not in step with other gateways.
     std::uniform_int_distribution<std::int64_t> wait(kAgainLeastMs, kAgainMostMs);
-    again_.set({(receiving ? kAgainWhileReceivingMs : wait(chance_)) * 1000});
+    again_.set(receiving ? kAgainWhileReceiving : Span{wait(chance_) * 1000});
 }
 
 void Discovery::answered(Call& call, bool keeps_open, const platform::News& news, std::size_t bytes) {
--- a/src/platform/list_reader.cpp
+++ b/src/platform/list_reader.cpp
@@ -104,8 +104,9 @@
     news_.index = whole(frame, "index");
     news_.whole = flag(frame, "snapshot");
     // Each of them stands as a zero in the frame.
-    if (list_or_empty(frame, "endpoints").size() != news_.entries.size())
+    if (list_or_empty(frame, "endpoints").size() != news_.entries.size()) {
         throw BadInput("not an object: endpoints");
+    }
     for (const Json& place : list_or_empty(frame, "endpoints")) {
         if (!place.is_number_integer() || place != 0) throw BadInput("not an object: endpoints");
     }
--- a/src/platform/registry.cpp
+++ b/src/platform/registry.cpp
@@ -1,5 +1,6 @@
 #include "platform/registry.h"
 
+#include <array>
 #include <utility>
 
 namespace copperfront::platform {
@@ -14,16 +15,20 @@
     return name;
 }
 
+struct NamedStanding {
+    std::string_view name;
+    Standing standing;
+};
+constexpr std::array<NamedStanding, 3> kStandings{
+    {{"up", Standing::ready}, {"draining", Standing::draining}, {"removed", Standing::gone}}};
+
 bool read_standing(std::string_view status, Standing& standing) {
-    if (status == "up")
-        standing = Standing::ready;
-    else if (status == "draining")
-        standing = Standing::draining;
-    else if (status == "removed")
-        standing = Standing::gone;
-    else
-        return false;
-    return true;
+    for (const NamedStanding& known : kStandings) {
+        if (known.name != status) continue;
+        standing = known.standing;
+        return true;
+    }
+    return false;
 }
 
 // Reads an entry in its usual form without a tree of it, as lists have thousands. Whatever is not usual stops
@@ -73,14 +78,10 @@
     bool binary(binary_t&) override { return false; }
     bool start_object(std::size_t) override { return !std::exchange(begun_, true); }
     bool key(string_t& name) override {
-        field_ = name == "name"       ? Field::name
-                 : name == "address"  ? Field::address
-                 : name == "type"     ? Field::kind
-                 : name == "zone"     ? Field::zone
-                 : name == "group"    ? Field::group
-                 : name == "status"   ? Field::status
-                 : name == "since_ms" ? Field::since
-                                      : Field::other;
+        field_ = Field::other;
+        for (const NamedField& known : kFields) {
+            if (known.name == name) field_ = known.field;
+        }
         return true;
     }
     bool end_object() override { return true; }
@@ -92,6 +93,17 @@
 
   private:
     enum class Field { name, address, kind, zone, group, status, since, other };
+    struct NamedField {
+        std::string_view name;
+        Field field;
+    };
+    static constexpr std::array<NamedField, 7> kFields{{{"name", Field::name},
+                                                        {"address", Field::address},
+                                                        {"type", Field::kind},
+                                                        {"zone", Field::zone},
+                                                        {"group", Field::group},
+                                                        {"status", Field::status},
+                                                        {"since_ms", Field::since}}};
 
     static bool take_name(std::string& value, std::string& to, bool& has) {
         if (value.empty() || value.size() > kMostName) return false;
--- a/src/soak/fleet.cpp
+++ b/src/soak/fleet.cpp
@@ -223,7 +223,8 @@
 void Fleet::share_cpu(std::size_t gateway) {
     if (options_.least_cpu_share >= 1) return;
     Gateway& mine = *gateways_[gateway];
-    std::minstd_rand chance(static_cast<std::uint32_t>(options_.seed * 977 + gateway * 31 + mine.life));
+    std::minstd_rand chance(
+        static_cast<std::uint32_t>(std::size_t{options_.seed} * 977 + gateway * 31 + mine.life));
     const double share = std::uniform_real_distribution<double>(options_.least_cpu_share, 1)(chance);
     mine.cpu_share = std::make_unique<CpuShare>(loop_, processes_, mine.name, share);
 }
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -146,5 +146,38 @@
     EXPECT_FALSE(well(0));
 }
 
+// 250 ms of the settings, the protocol's 50 ms, and what the judge allows for a busy machine.
+constexpr Microseconds kDrainAtMost = 420 * kMs;
+
+// A hand-over that arrives so long after its server was withdrawn; discovery wrote the change to the gateway
+// so long after that, or never where that is negative.
+bool is_late_for_drain(Microseconds arrives, Microseconds written, std::size_t to_gateway = 0) {
+    Course course;
+    GatewayLife life;
+    life.started = 1;
+    course.records.gateways.push_back(life);
+    course.records.withdrawn["decode-1"].push_back({kStart, kStart + 20000 * kMs, 7});
+    course.records.told.push_back({to_gateway, kStart - 5 * kMs, 6});
+    if (written >= 0) course.records.told.push_back({to_gateway, kStart + written, 7});
+    course.at(arrives, ServerEvent::arrived, 2).at(arrives + kMs, ServerEvent::ended, 2);
+    for (const Finding& finding : judge(course.records, {}).findings) {
+        if (finding.rule == "drain") return true;
+    }
+    return false;
+}
+
+TEST(DrainJudge, CountsFromTheMomentThatDiscoveryWroteTheChange) {
+    EXPECT_FALSE(is_late_for_drain(100 * kMs + kDrainAtMost, 100 * kMs));
+    EXPECT_TRUE(is_late_for_drain(100 * kMs + kDrainAtMost + kMs, 100 * kMs));
+}
+
+TEST(DrainJudge, CountsFromTheLatestTimeWhereNothingWasWritten) {
+    for (const std::size_t gateway : {std::size_t{0}, std::size_t{1}}) {
+        const Microseconds written = gateway == 0 ? -1 : 100 * kMs;  // to another gateway
+        EXPECT_FALSE(is_late_for_drain(6000 * kMs + kDrainAtMost, written, gateway));
+        EXPECT_TRUE(is_late_for_drain(6000 * kMs + kDrainAtMost + kMs, written, gateway));
+    }
+}
+
 }  // namespace
 }  // namespace copperfront::soak
