--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t kMostDropped = 4 << 20;
 
 constexpr std::size_t kUsualRead = 4096;  // past it more is likely to lie in the system
+constexpr Span kMostUnread{10000000};  // what is said to have lain in the system for longer is not believed
 constexpr std::size_t kMostReadAtOnce = 64 << 10;
 constexpr Span kAgainAfter{5000};  // a read or write for which the system lacked memory
 
@@ -163,7 +164,8 @@
     tcp_info info{};
     socklen_t length = sizeof info;
     if (getsockopt(bufferevent_getfd(events_), IPPROTO_TCP, TCP_INFO, &info, &length) != 0) return {};
-    return {std::int64_t{info.tcpi_last_data_recv} * 1000};
+    const Span since{std::int64_t{info.tcpi_last_data_recv} * 1000};
+    return since < kMostUnread ? since : Span{};
 }
 
 void Stream::pause_reading(bool pause) {
