--- a/tests/node/release_test.cpp
+++ b/tests/node/release_test.cpp
@@ -139,6 +139,17 @@
         "the release of the earlier read", [&] { return w.prefill.count("DELETE") > before; }, ms(1000));
 }
 
+// Beside the usual two of a request whose prefill was not heard to end.
+void wait_for_two_more_elsewhere(ScriptedWorld& w, std::size_t& answered_at_decode) {
+    w.until(
+        "releases elsewhere, the usual two and two more",
+        [&] {
+            w.answer_releases(w.decode, answered_at_decode);
+            return w.decode.count("DELETE") + w.platform.count("DELETE") >= 4;
+        },
+        ms(4000));
+}
+
 // Its server hangs all the while: others are told in steps shorter than a state may be held, and once the
 // server answers it is told again, as the read may take a while from then on.
 TEST(Release, OfALateReadIsRepeatedElsewhereAndOnceItsServerAnswers) {
@@ -148,13 +159,7 @@
     w.wait_for_post(w.prefill, 1);
     w.until("a final answer", [&] { return client->status() != 0; });
     std::size_t at_decode = 0, at_prefill = 0;
-    w.until(
-        "releases elsewhere, the usual two and two more",
-        [&] {
-            w.answer_releases(w.decode, at_decode);
-            return w.decode.count("DELETE") + w.platform.count("DELETE") >= 4;
-        },
-        ms(4000));
+    wait_for_two_more_elsewhere(w, at_decode);
     EXPECT_GT(w.prefill.count("DELETE"), 0u);
     const std::size_t before = w.prefill.count("DELETE");
     w.until(
@@ -184,13 +189,7 @@
     w.wait_for_list();
     w.until("a final answer", [&] { return client->status() != 0; });
     std::size_t at_decode = 0;
-    w.until(
-        "releases elsewhere, the usual two and two more",
-        [&] {
-            w.answer_releases(w.decode, at_decode);
-            return w.decode.count("DELETE") + w.platform.count("DELETE") >= 4;
-        },
-        ms(4000));
+    wait_for_two_more_elsewhere(w, at_decode);
 }
 
 INSTANTIATE_TEST_SUITE_P(EachEffect, HandOverNeverRead, testing::Values("repeatable", "once"),
