A refused number of a terms file leaves no figure out of its range behind

Cause: a number that is refused stayed as it was read, and the reader, which tells all faults at once, went on with it. Change: a refused number stands at the nearest end of its range.

--- a/src/sexpr/schema.cpp
+++ b/src/sexpr/schema.cpp
@@ -114,8 +114,11 @@
         case Type::whole:
         case Type::number:
             if (!read_number(atom, value.number) || value.number < key.least || value.number > key.most ||
-                (key.type == Type::whole && value.number != std::floor(value.number)))
+                (key.type == Type::whole && value.number != std::floor(value.number))) {
+                // All faults are told at once, so the rest is looked at with a figure that can be.
+                value.number = value.number > key.most ? key.most : key.least;
                 return "expected " + expected(key) + found;
+            }
             return {};
     }
     return {};
