Events of the loop have no priorities any more

Cause: a stream was made urgent right after its dial. Where the connection is refused within the call, its callback is queued already; the new priority is then used to remove it from another queue, whose end stays at freed memory, and later events are lost. Change: no priorities. Test: soak_system_calls, which found it.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -11,11 +11,6 @@
 namespace copperfront {
 namespace {
 
-// The event library's priorities: as many, and the one that events have by themselves is the middle one.
-constexpr int kPriorities = 3, kUsualPriority = 1;
-// After so many usual events a loop that is behind looks for urgent ones.
-constexpr int kEventsBeforeUrgent = 8;
-
 std::int64_t read_clock(clockid_t which) {
     timespec at{};
     clock_gettime(which, &at);
@@ -38,11 +33,9 @@
 Loop::Loop() : wall_at_start_(read_clock(CLOCK_REALTIME)), steady_at_start_(machine_clock_us()) {
     event_config* wishes = event_config_new();
     event_config_set_flag(wishes, EVENT_BASE_FLAG_PRECISE_TIMER);
-    event_config_set_max_dispatch_interval(wishes, nullptr, kEventsBeforeUrgent, kUsualPriority);
     base_ = event_base_new_with_config(wishes);
     event_config_free(wishes);
     if (!base_) throw std::bad_alloc();
-    event_base_priority_init(base_, kPriorities);
     posted_event_ = event_new(base_, -1, 0, run_posted, this);
     signal(SIGPIPE, SIG_IGN);
 }
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -82,8 +82,6 @@
     void on_signal(int signal, std::function<void()> what);
 
     event_base* base() const { return base_; }
-    // For the event library.
-    static constexpr int kUrgentPriority = 0;
 
   private:
     static void run_posted(int, short, void* self);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -176,19 +176,6 @@
         bufferevent_enable(events_, EV_READ);
 }
 
-void Stream::make_urgent() {
-    urgent_ = true;
-    bufferevent_priority_set(events_, Loop::kUrgentPriority);
-}
-
-// The event library does nothing else as long as there is something urgent to do.
-void Stream::let_others_go_first() {
-    bufferevent_disable(events_, EV_READ);
-    loop_.post([this, alive = alive_] {
-        if (*alive && !closed_ && !paused_) bufferevent_enable(events_, EV_READ);
-    });
-}
-
 // The event library reads a few kilobytes for each turn of the loop, so that a long message would take as
 // many turns.
 void Stream::read_more() {
@@ -282,7 +269,6 @@
     }
     if (!stream.owner_ || stream.closed_) return;
     if (stream.held() >= kUsualRead) stream.read_more();
-    if (stream.urgent_) stream.let_others_go_first();
     stream.owner_->bytes_came(stream);
 }
 
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -74,9 +74,6 @@
     // nothing where it does not tell.
     Span since_received() const;
     void pause_reading(bool pause);
-    // Where the loop is behind, what comes on this stream is read before what comes on others, and then waits
-    // until some of these have had their turn.
-    void make_urgent();
     // Sends an end after what is queued; reading goes on.
     void end_sending();
 
@@ -99,7 +96,6 @@
     static void happened(bufferevent*, short what, void* self);
     void close(Closing why, std::string what);
     void read_more();
-    void let_others_go_first();
     void go_on_soon(short what);
     void set_callbacks();
 
@@ -109,7 +105,7 @@
     bufferevent* events_ = nullptr;
     bool made_ = false, closed_ = false, flushing_ = false, polite_ = false, end_wanted_ = false,
          done_ = false;
-    bool paused_ = false, urgent_ = false;
+    bool paused_ = false;
     int read_error_ = 0;  // that read_more has met: the system tells it once
     short stopped_ = 0;   // directions that wait for the system to have memory again
     int stalled_ = 0;
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -42,8 +42,6 @@
           target_(target),
           patience_(all.loop_, [this] { waited_long_enough(); }) {
         stream_ = Stream::dial(all.loop_, all.address_, {0, kHeldBytes}, *this);
-        // Against drains that are read late where the loop is behind.
-        stream_->make_urgent();
         begin(kAnswerWithin);
     }
     ~Call() override { end(); }
