The start's processor time is checked as before, list of discovery included

The wider check had not failed (a log was misread), and no trace showed the case allowed, so it stands again: 30 ms up to the answer to the test's probe.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -120,7 +120,6 @@
     log_.say(Weight::info, "node", "started",
              {{"node", terms_.name},
               {"address", address().text()},
-              {"start_cpu_ms", cpu_used().ms()},
               {"servers", static_cast<std::int64_t>(index_of_name_.size())},
               {"client_connections", static_cast<std::int64_t>(sizes.clients)},
               {"server_connections", static_cast<std::int64_t>(sizes.servers)}});
--- a/tests/node/large_fleet_test.cpp
+++ b/tests/node/large_fleet_test.cpp
@@ -83,11 +83,8 @@
 TEST(LargeFleet, GatewayIsReadyAfterLittleWork) {
     LargeFleet fleet({.servers = kMostServers});
     fleet.start();
-    // Up to its readiness: discovery's own list is read after that.
-    const double used = fleet.most_in_log("start_cpu_ms");
-    std::printf("ready after %.1f ms of CPU\n", used);
-    EXPECT_GT(used, 0);
-    EXPECT_LE(used, 30);
+    std::printf("ready after %.1f ms of CPU\n", fleet.cpu_used().ms());
+    EXPECT_LE(fleet.cpu_used(), ms(30));
 }
 
 // Against a loop that stands still: at a list, at a change of half the fleet, or for requests that wait.
