Soak: every shimmed system call fails early in each gateway's life

Clients keep their connections open, so a gateway accepts little (some hundred calls in six seconds), and at 0.4 % with bursts drawn from the clock a run without any failed accept is likely enough.

Now each call of each gateway process fails for the first time at a number of its calls that the seed draws (9th to 24th), unless it has failed before; the shares and bursts stay. The check is as it was. Two kinds that share bursts (readv and recv, poll and epoll_wait) count on their own.

--- a/tests/soak/fault_shim.cpp
+++ b/tests/soak/fault_shim.cpp
@@ -2,11 +2,11 @@
 // short or be interrupted as Linux documents, and steps the wall clock, by a schedule that its seed decides.
 //
 //   FAULT_SHIM_SEED   number; the same seed draws the same faults for the same sequence of calls
-//   FAULT_SHIM_RATE   share of the calls that meet a fault outside bursts; 0.004 by default
+//   FAULT_SHIM_RATE   share of the calls that meet a fault outside bursts; 0.004 by default. Over 0, each
+//                     call also fails once early in the life of the process, so that none goes untested
 //   FAULT_SHIM_LOG    file that takes a line for each fault: call, descriptor, what, number of the draw, seed
-//   FAULT_SHIM_SABOTAGE  makes a gateway that breaks a rule, to see that it is found out: "releases" swallows
-//   what
-//                     it releases, "answers" its error answers to clients
+//   FAULT_SHIM_SABOTAGE  makes a gateway that breaks a rule, to see that it is found out: "releases"
+//                     swallows what it releases, "answers" its error answers to clients
 //   FAULT_SHIM_CLOCK  microseconds by which the wall clock is wrong from the start; 0 by default
 //
 // Connections of clients meet only what passes by itself (interruptions, short counts, lack of memory); those
@@ -38,8 +38,30 @@
 constexpr std::uint64_t kSliceNanoseconds = 150000000;
 constexpr std::uint64_t kNanosecondsPerSecond = 1000000000;
 constexpr long kMicrosecondsPerSecond = 1000000;
+// The first fault of each call comes by this one of its calls at the latest.
+constexpr std::uint64_t kFirstFaultAfter = 8;
+constexpr std::uint64_t kFirstFaultWithin = 16;
 
-enum class Call : std::uint64_t { accept, socket, connect, read, write, wait, option };
+// Those of one kind meet their bursts together.
+enum class Kind : std::uint64_t { accept, socket, connect, read, write, wait, option };
+
+struct Call {
+    const char* name;
+    Kind kind;
+    std::uint64_t number;  // tells calls apart in draws
+    std::atomic<std::uint64_t> made{0};
+    std::atomic<bool> has_failed{false};
+};
+Call accept_call{"accept4", Kind::accept, 1};
+Call socket_call{"socket", Kind::socket, 2};
+Call connect_call{"connect", Kind::connect, 3};
+Call readv_call{"readv", Kind::read, 4};
+Call writev_call{"writev", Kind::write, 5};
+Call recv_call{"recv", Kind::read, 6};
+Call poll_call{"poll", Kind::wait, 7};
+Call epoll_wait_call{"epoll_wait", Kind::wait, 8};
+Call setsockopt_call{"setsockopt", Kind::option, 9};
+Call getsockname_call{"getsockname", Kind::option, 10};
 
 template <class Function>
 Function* real(const char* name) {
@@ -85,21 +107,30 @@
            kSliceNanoseconds;
 }
 
+// Whether the call has come to the one that fails for sure and none has failed yet.
+bool is_first_fault_due(Call& call) {
+    const std::uint64_t made = ++call.made;
+    if (settings().rate <= 0 || call.has_failed.load()) return false;
+    return made > kFirstFaultAfter + mixed(settings().seed * 16 + call.number) % kFirstFaultWithin;
+}
+
 // A fresh random number where this call is to fail; 0: it is not.
-std::uint64_t strikes(Call call) {
+std::uint64_t strikes(Call& call) {
     const std::uint64_t draw = ++draws;
     const std::uint64_t random = mixed(settings().seed * 1000003 + draw);
+    if (is_first_fault_due(call)) return mixed(random) | 1;
     const std::uint64_t slice =
-        mixed(settings().seed ^ mixed(slice_now() * 16 + static_cast<std::uint64_t>(call)));
+        mixed(settings().seed ^ mixed(slice_now() * 16 + static_cast<std::uint64_t>(call.kind)));
     const double rate = settings().rate > 0 && slice % kBurstOneIn == 0 ? kBurstRate : settings().rate;
     const double drawn = static_cast<double>(random >> 11) / 9007199254740992.0;
     return drawn < rate ? mixed(random) | 1 : 0;
 }
 
-void note(const char* call, int fd, const char* what) {
+void note(Call& call, int fd, const char* what) {
+    call.has_failed = true;
     if (settings().log < 0) return;
     char line[160];
-    const int length = snprintf(line, sizeof line, "%s %d %s %llu %llu\n", call, fd, what,
+    const int length = snprintf(line, sizeof line, "%s %d %s %llu %llu\n", call.name, fd, what,
                                 static_cast<unsigned long long>(draws.load()),
                                 static_cast<unsigned long long>(settings().seed));
     static const auto write_line = real<ssize_t(int, const void*, size_t)>("write");
@@ -123,14 +154,14 @@
     const char* name;
 };
 
-int fail(const char* call, int fd, const Errno& chosen) {
+int fail(Call& call, int fd, const Errno& chosen) {
     note(call, fd, chosen.name);
     errno = chosen.number;
     return -1;
 }
 
 // Of those that break a connection for good: it breaks for the peer as well.
-int break_connection(const char* call, int fd, const Errno& chosen) {
+int break_connection(Call& call, int fd, const Errno& chosen) {
     shutdown(fd, SHUT_RDWR);
     return fail(call, fd, chosen);
 }
@@ -170,8 +201,8 @@
 
 // What happens to a call that moves bytes.
 enum class Transfer { usual, failed, short_count };
-Transfer transfer_fault(const char* call, int fd, Call kind, std::uint64_t& random) {
-    random = strikes(kind);
+Transfer transfer_fault(Call& call, int fd, std::uint64_t& random) {
+    random = strikes(call);
     if (random == 0 || !is_network(fd)) return Transfer::usual;
     const std::uint64_t sort = random / 1024 % 8;
     if (sort < 4) {
@@ -197,8 +228,8 @@
 
 int accept4(int fd, sockaddr* address, socklen_t* length, int flags) {
     static const auto next = real<int(int, sockaddr*, socklen_t*, int)>("accept4");
-    if (const std::uint64_t random = strikes(Call::accept))
-        return fail("accept4", fd, one_of(kAcceptFaults, random));
+    if (const std::uint64_t random = strikes(accept_call))
+        return fail(accept_call, fd, one_of(kAcceptFaults, random));
     const int made = next(fd, address, length, flags);
     if (made >= 0 && made < kMostDescriptors) accepted[made] = true;
     return made;
@@ -207,8 +238,8 @@
 int socket(int domain, int type, int protocol) {
     static const auto next = real<int(int, int, int)>("socket");
     if (domain == AF_INET)
-        if (const std::uint64_t random = strikes(Call::socket))
-            return fail("socket", -1, one_of(kSocketFaults, random));
+        if (const std::uint64_t random = strikes(socket_call))
+            return fail(socket_call, -1, one_of(kSocketFaults, random));
     const int made = next(domain, type, protocol);
     if (made >= 0 && made < kMostDescriptors) accepted[made] = false;
     return made;
@@ -216,18 +247,18 @@
 
 int connect(int fd, const sockaddr* address, socklen_t length) {
     static const auto next = real<int(int, const sockaddr*, socklen_t)>("connect");
-    const std::uint64_t random = strikes(Call::connect);
+    const std::uint64_t random = strikes(connect_call);
     if (random == 0) return next(fd, address, length);
-    if (random / 8 % 4 != 0) return fail("connect", fd, one_of(kConnectFaults, random));
+    if (random / 8 % 4 != 0) return fail(connect_call, fd, one_of(kConnectFaults, random));
     // Interrupted, it goes on by itself.
     next(fd, address, length);
-    return fail("connect", fd, {EINTR, "EINTR"});
+    return fail(connect_call, fd, {EINTR, "EINTR"});
 }
 
 ssize_t readv(int fd, const iovec* pieces, int count) {
     static const auto next = real<ssize_t(int, const iovec*, int)>("readv");
     std::uint64_t random = 0;
-    switch (transfer_fault("readv", fd, Call::read, random)) {
+    switch (transfer_fault(readv_call, fd, random)) {
         case Transfer::failed:
             return -1;
         case Transfer::short_count: {
@@ -249,7 +280,7 @@
         return all;
     }
     std::uint64_t random = 0;
-    switch (transfer_fault("writev", fd, Call::write, random)) {
+    switch (transfer_fault(writev_call, fd, random)) {
         case Transfer::failed:
             return -1;
         case Transfer::short_count: {
@@ -265,35 +296,35 @@
 
 ssize_t recv(int fd, void* buffer, size_t size, int flags) {
     static const auto next = real<ssize_t(int, void*, size_t, int)>("recv");
-    if (const std::uint64_t random = strikes(Call::read); random != 0 && is_network(fd))
-        return fail("recv", fd, one_of(kPeekFaults, random));
+    if (const std::uint64_t random = strikes(recv_call); random != 0 && is_network(fd))
+        return fail(recv_call, fd, one_of(kPeekFaults, random));
     return next(fd, buffer, size, flags);
 }
 
 int poll(pollfd* fds, nfds_t count, int timeout) {
     static const auto next = real<int(pollfd*, nfds_t, int)>("poll");
-    if (const std::uint64_t random = strikes(Call::wait))
-        return fail("poll", -1, one_of(kPeekFaults, random));
+    if (const std::uint64_t random = strikes(poll_call))
+        return fail(poll_call, -1, one_of(kPeekFaults, random));
     return next(fds, count, timeout);
 }
 
 int epoll_wait(int fd, epoll_event* events, int most, int timeout) {
     static const auto next = real<int(int, epoll_event*, int, int)>("epoll_wait");
-    if (strikes(Call::wait) != 0) return fail("epoll_wait", fd, {EINTR, "EINTR"});
+    if (strikes(epoll_wait_call) != 0) return fail(epoll_wait_call, fd, {EINTR, "EINTR"});
     return next(fd, events, most, timeout);
 }
 
 int setsockopt(int fd, int level, int name, const void* value, socklen_t length) {
     static const auto next = real<int(int, int, int, const void*, socklen_t)>("setsockopt");
-    if (const std::uint64_t random = strikes(Call::option); random != 0 && is_network(fd))
-        return fail("setsockopt", fd, one_of(kOptionFaults, random));
+    if (const std::uint64_t random = strikes(setsockopt_call); random != 0 && is_network(fd))
+        return fail(setsockopt_call, fd, one_of(kOptionFaults, random));
     return next(fd, level, name, value, length);
 }
 
 int getsockname(int fd, sockaddr* address, socklen_t* length) {
     static const auto next = real<int(int, sockaddr*, socklen_t*)>("getsockname");
-    if (const std::uint64_t random = strikes(Call::option); random != 0 && is_network(fd))
-        return fail("getsockname", fd, one_of(kOptionFaults, random));
+    if (const std::uint64_t random = strikes(getsockname_call); random != 0 && is_network(fd))
+        return fail(getsockname_call, fd, one_of(kOptionFaults, random));
     return next(fd, address, length);
 }
 
