A release answered after its state was taken is not counted as a late release

Cause: the stream's end had settled the request and dropped it from the ledger before the release's answer was read. The result then carried a zero time as the start of the hold, and the guard measured from the epoch. The same for a later request under the same key that holds nothing yet: its books took the answer as the end of a lease that never ran.

Change: the start of the hold is optional; without a hold nothing can be late, and an answer says nothing of a request that holds nothing.

--- a/src/core/hold_ledger.cpp
+++ b/src/core/hold_ledger.cpp
@@ -209,6 +209,9 @@
         result.proof = Proof::let_go;
         return result;
     }
+    // A later request under the same key, which holds nothing yet, or nothing any more: this says nothing of
+    // it.
+    if (request->entries.empty()) return result;
     // At any time between its writing and its answer.
     const bool attempt_was_out =
         (!request->out.empty() || written < request->quiet_from || written < request->last_over) &&
@@ -223,7 +226,7 @@
         if (!request->lease_released) request->lease_since = now;
         if (is_sabotaged(Sabotage::lease_release_ends_hold)) request->entries.clear();
         result.proof = Proof::lease_only;
-        if (now - result.held_since > release_within_) result.history = history(key);
+        if (now - *result.held_since > release_within_) result.history = history(key);
         return result;
     }
     note(*request, now, Event::Kind::release_answered, by);
@@ -234,12 +237,12 @@
         request->not_before = now + kOnceMoreAfter;
         request->lease_since = now;
         result.proof = Proof::once_more;
-        if (now - result.held_since > release_within_) result.history = history(key);
+        if (now - *result.held_since > release_within_) result.history = history(key);
         return result;
     }
     request->entries.clear();
     result.proof = Proof::let_go;
-    if (request->unusual || now - result.held_since > release_within_) result.history = history(key);
+    if (request->unusual || now - *result.held_since > release_within_) result.history = history(key);
     result.unheard = std::move(request->unheard);
     request->unheard.clear();
     drop_if_settled(key);
--- a/src/core/hold_ledger.h
+++ b/src/core/hold_ledger.h
@@ -17,6 +17,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -103,7 +104,7 @@
     };
     struct ReleaseResult {
         Proof proof = Proof::nothing;
-        Instant held_since;                   // from when on the time has run
+        std::optional<Instant> held_since;    // from when on the time has run; none: nothing was held
         std::vector<UnheardAttempt> unheard;  // of the request, with Proof::let_go
         std::string history;                  // of the request, where its course was unusual
     };
--- a/src/core/send_guard.cpp
+++ b/src/core/send_guard.cpp
@@ -149,8 +149,8 @@
     return release_within_.us > 0 && now - held_since > release_within_ + kReleaseSlack;
 }
 
-bool SendGuard::check_released(Instant held_since, Instant released) {
-    if (!is_release_late(held_since, released)) return true;
+bool SendGuard::check_released(std::optional<Instant> held_since, Instant released) {
+    if (!held_since || !is_release_late(*held_since, released)) return true;
     violated(Invariant::state_released_in_time);
     return false;
 }
--- a/src/core/send_guard.h
+++ b/src/core/send_guard.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 #include "hold_ledger.h"
 #include "terms.h"
@@ -119,8 +120,8 @@
     void violated(Invariant invariant) { ++violations_[static_cast<std::size_t>(invariant)]; }
     // Whether what has been held since then should have been released by now.
     bool is_release_late(Instant held_since, Instant now) const;
-    // Each checks one invariant and returns whether it holds.
-    bool check_released(Instant held_since, Instant released);
+    // Each checks one invariant and returns whether it holds. `held_since`: none where nothing was held.
+    bool check_released(std::optional<Instant> held_since, Instant released);
     bool check_deadline(Span told, Span left);
     bool check_effect(Effect effect, bool may_have_run);
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -305,15 +305,18 @@
     upstreams_->release(order);
 }
 
+Span Node::held_for(const HoldLedger::ReleaseResult& result) const {
+    return result.held_since ? loop_.now() - *result.held_since : Span{};
+}
+
 void Node::release_answered(const std::string& id, const HoldLedger::ReleaseResult& result) {
-    const Span held = loop_.now() - result.held_since;
     const bool in_time = guard().check_released(result.held_since, loop_.now());
-    request_log_.release_answered(id, result.proof, held, in_time, result.history, loop_.now());
+    request_log_.release_answered(id, result.proof, held_for(result), in_time, result.history, loop_.now());
 }
 
 void Node::release_given_up(const std::string& id, const HoldLedger::ReleaseResult& result) {
     guard().check_released(result.held_since, loop_.now());
-    request_log_.release_given_up(id, loop_.now() - result.held_since, result.history);
+    request_log_.release_given_up(id, held_for(result), result.history);
 }
 
 Denial Node::may_write(LaunchId launch, Span told) {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -60,6 +60,7 @@
         std::vector<Attempt> attempts;
     };
 
+    Span held_for(const HoldLedger::ReleaseResult& result) const;
     Instant now() const override { return loop_.now(); }
     void wake_at(Instant at) override { wake_.set(at - loop_.now()); }
     void send_read(LaunchId launch, ServerIndex to, QueryIndex query, Span limit) override;
--- a/tests/core/hold_ledger_test.cpp
+++ b/tests/core/hold_ledger_test.cpp
@@ -20,6 +20,7 @@
 
 struct LedgerTest : testing::Test {
     HoldLedger ledger{kRule};
+    SendGuard guard{kRule};
     Instant now = kStart;
 
     void pass(Span span) { now = now + span; }
@@ -282,6 +283,34 @@
     EXPECT_EQ(need(), Need::due);
 }
 
+// The stream's end and the release's answer may come in the same moment, in either order.
+TEST_F(LedgerTest, ReleaseAnsweredAfterTheStreamHasSettledIsNotALateRelease) {
+    prefill_answered();
+    const Instant written = now;
+    ledger.release_written(kRequest, kOther, written);
+    hand_over();
+    ledger.stream_began(kRequest, kHandOver, now);
+    end(kHandOver, Ending::settled);
+    const HoldLedger::ReleaseResult result = ledger.release_answered(kRequest, kOther, written, now);
+    EXPECT_EQ(result.proof, Proof::let_go);
+    EXPECT_TRUE(guard.check_released(result.held_since, now));
+}
+
+// A client may send a request again under the same id while a release of the first is still out.
+TEST_F(LedgerTest, ReleaseAnsweredWhileTheNextRequestOfThatNameHoldsNothingIsNotALateRelease) {
+    prefill_answered();
+    const Instant written = now;
+    ledger.release_written(kRequest, kOther, written);
+    hand_over();
+    end(kHandOver, Ending::settled);
+    pass(ms(2000));
+    ledger.attempt_started(kRequest, kSecondPrefill, kPrefillServer, true, now);
+    const HoldLedger::ReleaseResult result = ledger.release_answered(kRequest, kOther, written, now);
+    EXPECT_EQ(result.proof, Proof::nothing);
+    EXPECT_TRUE(guard.check_released(result.held_since, now));
+    EXPECT_TRUE(ledger.is_attempt_out(kRequest));
+}
+
 TEST_F(LedgerTest, HistoryTellsWhyAReleaseDidNotCount) {
     ledger.name_servers([](ServerIndex server) { return "s" + std::to_string(server); });
     prefill_answered();
