What is sent within an event is written at its end, in one call of the system

Cause: each piece that was sent switched the wait for room on, went out in the next turn of the loop and switched the wait off again: two changes of the set of descriptors, one wait and one timer setting for each event of a stream.

Change: a stream writes at the end of the event that sent, and waits for room only where the system has none; an error that this write meets is kept, as the system tells it once.

--- a/bench/growth_bench.cpp
+++ b/bench/growth_bench.cpp
@@ -10,7 +10,6 @@
 #include <filesystem>
 #include <fstream>
 #include <set>
-#include <sstream>
 
 #include "day/process.h"
 #include "standin/platform.h"
@@ -46,16 +45,19 @@
     std::size_t descriptors = 0, connections = 0, completed = 0;
 };
 
+// Of all its threads, in the scheduler's own count; that of /proc/PID/stat is of samples, which are wide of
+// the mark for a process that wakes a thousand times a second for some microseconds.
 double cpu_seconds_of(pid_t process) {
-    std::ifstream file("/proc/" + std::to_string(process) + "/stat");
-    std::string text((std::istreambuf_iterator<char>(file)), {});
-    std::istringstream fields(text.substr(text.rfind(')') + 2));
-    std::string skipped;
-    // State is the first of what is left; user and system time are the twelfth and thirteenth.
-    for (int n = 0; n < 11; ++n) fields >> skipped;
-    double user = 0, system = 0;
-    fields >> user >> system;
-    return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+    double nanoseconds = 0;
+    for (const auto& thread :
+         std::filesystem::directory_iterator("/proc/" + std::to_string(process) + "/task")) {
+        std::ifstream file(thread.path() / "schedstat");
+        double ran = 0;
+        if (!(file >> ran))
+            throw std::runtime_error("the system does not tell the processor time of threads");
+        nanoseconds += ran;
+    }
+    return nanoseconds / 1e9;
 }
 
 double peak_memory_mb_of(pid_t process) {
@@ -230,7 +232,7 @@
         for (const std::size_t servers : options.servers) {
             for (std::size_t program = 0; program < options.programs.size(); ++program) {
                 const Figures f = Measurement(options.programs[program], servers, options).run();
-                std::printf("%-5zu %-7zu %7zu %8.2f %8.2f %8.1f %11zu %11zu %8.1f %8.1f %9zu\n", round,
+                std::printf("%-5zu %-7zu %7zu %8.3f %8.3f %8.1f %11zu %11zu %8.1f %8.1f %9zu\n", round,
                             program + 1, servers, f.cpu_s,
                             f.cpu_s * 1000 / static_cast<double>(options.requests), f.memory_mb,
                             f.descriptors, f.connections, f.p50_ms, f.p99_ms, f.completed);
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -61,11 +61,26 @@
 }
 
 Loop::Event::~Event() {
+    if (loop_.event_depth_ == 1) loop_.run_after_event();
     if (--loop_.event_depth_ > 0) return;
     const Span took{machine_clock_us() - loop_.event_began_};
     if (took > loop_.longest_event_.took) loop_.longest_event_ = {took, loop_.event_name_};
 }
 
+// Those that are called may add others.
+void Loop::run_after_event() {
+    for (std::size_t n = 0; n < after_event_.size(); ++n) {
+        if (after_event_[n] != nullptr) after_event_[n]->event_over();
+    }
+    after_event_.clear();
+}
+
+void Loop::forget(const AfterEvent& who) {
+    std::replace_if(
+        after_event_.begin(), after_event_.end(), [&who](const AfterEvent* one) { return one == &who; },
+        nullptr);
+}
+
 Loop::LongestEvent Loop::take_longest_event() { return std::exchange(longest_event_, {}); }
 
 void Loop::run() { event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY); }
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -47,6 +47,18 @@
       private:
         Loop& loop_;
     };
+    // Called once at the end of the present event, before the loop waits again, and within the event's time.
+    class AfterEvent {
+      public:
+        virtual void event_over() = 0;
+
+      protected:
+        ~AfterEvent() = default;
+    };
+    bool in_event() const { return event_depth_ > 0; }
+    void after_event(AfterEvent& who) { after_event_.push_back(&who); }
+    void forget(const AfterEvent& who);
+
     // The longest event since the last call, and what it was.
     struct LongestEvent {
         Span took;
@@ -85,6 +97,7 @@
 
   private:
     static void run_posted(int, short, void* self);
+    void run_after_event();
 
     event_base* base_;
     event* posted_event_;
@@ -94,6 +107,7 @@
     std::vector<std::unique_ptr<Signal>> signals_;
     std::int64_t wall_at_start_, steady_at_start_;
     int event_depth_ = 0;
+    std::vector<AfterEvent*> after_event_;  // null: forgotten
     const char* event_name_ = "";
     std::int64_t event_began_ = 0;  // on the steady clock
     LongestEvent longest_event_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -60,11 +60,14 @@
 
 Stream::~Stream() {
     *alive_ = false;
+    if (write_is_due_) loop_.forget(*this);
     if (events_) bufferevent_free(events_);
 }
 
 void Stream::set_callbacks() {
     bufferevent_setcb(events_, readable, drained, happened, this);
+    // The event library writes only where the system has had no room.
+    bufferevent_disable(events_, EV_WRITE);
     if (bounds_.held_bytes > 0) bufferevent_setwatermark(events_, EV_READ, 0, bounds_.held_bytes);
 }
 
@@ -75,7 +78,7 @@
     if (!stream->events_) throw std::bad_alloc();
     stream->made_ = true;
     stream->set_callbacks();
-    bufferevent_enable(stream->events_, EV_READ | EV_WRITE);
+    bufferevent_enable(stream->events_, EV_READ);
     return stream;
 }
 
@@ -124,6 +127,7 @@
     if (closed_ || flushing_ || !owner_) return;
     evbuffer* out = bufferevent_get_output(events_);
     evbuffer_add(out, bytes.data(), bytes.size());
+    write_soon();
     if (bounds_.unsent_bytes == 0 || evbuffer_get_length(out) <= bounds_.unsent_bytes) return;
     // The owner is told later: it may be in the middle of whatever made it send.
     closed_ = true;
@@ -149,11 +153,11 @@
 bool Stream::peer_has_ended() const {
     if (closed_) return true;
     if (!made_) return false;
-    const Pending pending = pending_in_system();
-    if (pending == Pending::end) return true;
-    // An end may lie behind bytes.
+    // An end may lie behind bytes, and an error is told to the first that reads it.
     pollfd at{bufferevent_getfd(events_), POLLRDHUP, 0};
-    return poll(&at, 1, 0) == 1 && (at.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    const int answered = poll(&at, 1, 0);
+    if (answered < 0) return pending_in_system() == Pending::end;
+    return answered == 1 && (at.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
 bool Stream::is_quiet() const {
@@ -184,10 +188,47 @@
     evbuffer_unfreeze(in, 0);
     int read = 1;
     while (held() < most && read > 0) read = evbuffer_read(in, bufferevent_getfd(events_), -1);
-    if (read < 0 && !passes_by_itself(errno)) read_error_ = errno;
+    if (read < 0 && !passes_by_itself(errno)) error_ = errno;
     evbuffer_freeze(in, 0);
 }
 
+bool Stream::waits_for_room() const { return (bufferevent_get_enabled(events_) & EV_WRITE) != 0; }
+
+// What is sent within one event goes out in one call of the system.
+void Stream::write_soon() {
+    if (!made_ || write_is_due_ || waits_for_room()) return;
+    if (!loop_.in_event()) {
+        bufferevent_enable(events_, EV_WRITE);
+        return;
+    }
+    write_is_due_ = true;
+    loop_.after_event(*this);
+}
+
+void Stream::event_over() {
+    write_is_due_ = false;
+    if (unsent() == 0 || waits_for_room()) return;
+    evbuffer* const out = bufferevent_get_output(events_);
+    evbuffer_unfreeze(out, 1);
+    const int written = evbuffer_write(out, bufferevent_getfd(events_));
+    if (written < 0 && !passes_by_itself(errno)) error_ = errno;
+    evbuffer_freeze(out, 1);
+    // It meets a connection that is broken as well, and tells of it.
+    if (unsent() > 0)
+        bufferevent_enable(events_, EV_WRITE);
+    else
+        all_written();
+}
+
+void Stream::all_written() {
+    if (end_wanted_) end_sending();
+    if (flushing_) {
+        if (!polite_) last_words_->set(Span{0});
+        return;
+    }
+    if (owner_ && !closed_) owner_->all_sent(*this);
+}
+
 void Stream::end_sending() {
     end_wanted_ = true;
     if (unsent() == 0 && made_) shutdown(bufferevent_getfd(events_), SHUT_WR);
@@ -248,12 +289,10 @@
 void Stream::drained(bufferevent*, void* self) {
     Stream& stream = *static_cast<Stream*>(self);
     const Loop::Event event(stream.loop_, "sent");
-    if (stream.end_wanted_) stream.end_sending();
-    if (stream.flushing_) {
-        if (!stream.polite_) stream.last_words_->set(Span{0});
-        return;
-    }
-    if (stream.owner_ && !stream.closed_) stream.owner_->all_sent(stream);
+    // More may have been sent since.
+    if (stream.unsent() > 0) return;
+    bufferevent_disable(stream.events_, EV_WRITE);
+    stream.all_written();
 }
 
 void Stream::readable(bufferevent*, void* self) {
@@ -286,13 +325,14 @@
     if (what & BEV_EVENT_CONNECTED) {
         stream.made_ = true;
         no_delay(bufferevent_getfd(stream.events_));
-        bufferevent_enable(stream.events_, EV_READ | EV_WRITE);
+        bufferevent_enable(stream.events_, EV_READ);
+        if (stream.unsent() > 0) stream.write_soon();
         stream.owner_->stream_made(stream);
         return;
     }
-    const std::string error = std::strerror(stream.read_error_ != 0 ? stream.read_error_ : number);
+    const std::string error = std::strerror(stream.error_ != 0 ? stream.error_ : number);
     if (!stream.made_) return stream.close(Closing::not_made, error);
-    const bool ended = (what & BEV_EVENT_EOF) != 0 && stream.read_error_ == 0;
+    const bool ended = (what & BEV_EVENT_EOF) != 0 && stream.error_ == 0;
     if (ended) return stream.close(Closing::peer_ended, "the peer closed the connection");
     stream.close(Closing::broken, error);
 }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -23,7 +23,7 @@
 };
 const char* text_of(Closing why);
 
-class Stream : public Buried {
+class Stream : public Buried, private Loop::AfterEvent {
   public:
     class Owner {
       public:
@@ -59,8 +59,9 @@
     std::ptrdiff_t find(char c, std::size_t from) const;
     void drain(std::size_t n);
 
-    // Nothing is sent once the stream has been closed; where the bound on what is unsent is passed, it
-    // closes.
+    // Written to the system at the end of the present event, as far as it has room; the rest follows as it
+    // gets room. Nothing is sent once the stream has been closed; where the bound on what is unsent is
+    // passed, it closes.
     void send(std::string_view bytes);
     std::size_t unsent() const;
     bool made() const { return made_; }
@@ -96,6 +97,10 @@
     static void happened(bufferevent*, short what, void* self);
     void close(Closing why, std::string what);
     void read_more();
+    bool waits_for_room() const;
+    void write_soon();
+    void event_over() override;
+    void all_written();
     void go_on_soon(short what);
     void set_callbacks();
 
@@ -106,8 +111,9 @@
     bool made_ = false, closed_ = false, flushing_ = false, polite_ = false, end_wanted_ = false,
          done_ = false;
     bool paused_ = false;
-    int read_error_ = 0;  // that read_more has met: the system tells it once
-    short stopped_ = 0;   // directions that wait for the system to have memory again
+    bool write_is_due_ = false;  // at the end of the present event
+    int error_ = 0;              // that a read or write of its own has met: the system tells it once
+    short stopped_ = 0;          // directions that wait for the system to have memory again
     int stalled_ = 0;
     std::size_t dropped_ = 0, still_queued_ = 0;
     std::unique_ptr<Timer> last_words_, again_;
--- a/tests/net/stream_test.cpp
+++ b/tests/net/stream_test.cpp
@@ -65,5 +65,77 @@
     EXPECT_EQ(receiver.heard.size(), 20000u);
 }
 
+// Answers each message with so many bytes.
+struct Replier : Stream::Owner {
+    Loop loop;
+    const std::size_t reply_bytes;
+    std::unique_ptr<Stream> stream;
+    std::optional<std::size_t> unsent_after_event;
+    std::optional<Closing> closed;
+    int times_all_sent = 0;
+    Listener listener{loop, Address::parse("127.0.0.1:0"), [this](int fd) {
+                          stream = Stream::accepted(loop, fd, {0, 0}, *this);
+                      }};
+
+    explicit Replier(std::size_t bytes) : reply_bytes(bytes) {}
+    ~Replier() override { Stream::hand_off(loop, std::move(stream), false); }
+    void bytes_came(Stream& s) override {
+        s.drain(s.held());
+        s.send(std::string(reply_bytes / 2, 'a'));
+        s.send(std::string(reply_bytes - reply_bytes / 2, 'b'));
+        loop.post([this] { unsent_after_event = stream->unsent(); });
+    }
+    void all_sent(Stream&) override { ++times_all_sent; }
+    void stream_closed(Stream&, Closing why, const std::string&) override { closed = why; }
+    void run_for(Span span) {
+        Timer timer(loop, [this] { loop.stop(); });
+        timer.set(span);
+        loop.run();
+    }
+};
+
+// Against an answer that waits for another turn of the loop, behind whatever else that turn brings.
+TEST(Stream, WhatIsSentWithinAnEventIsWrittenByItsEnd) {
+    Replier replier(1000);
+    RawClient peer(replier.listener.address());
+    peer.say("x");
+    replier.run_for(Span{50000});
+    ASSERT_TRUE(replier.unsent_after_event.has_value());
+    EXPECT_EQ(*replier.unsent_after_event, 0u);
+    EXPECT_EQ(replier.times_all_sent, 1);
+    EXPECT_EQ(peer.heard(), std::string(500, 'a') + std::string(500, 'b'));
+}
+
+TEST(Stream, WhatTheSystemHasNoRoomForFollowsInOrder) {
+    constexpr std::size_t kBytes = 32 << 20;
+    Replier replier(kBytes);
+    RawClient peer(replier.listener.address());
+    peer.say("x");
+    replier.run_for(Span{50000});
+    ASSERT_TRUE(replier.unsent_after_event.has_value());
+    EXPECT_GT(*replier.unsent_after_event, 0u);
+    EXPECT_EQ(replier.times_all_sent, 0);
+    for (int turn = 0; turn < 5000 && peer.heard().size() < kBytes; ++turn) replier.run_for(Span{1000});
+    EXPECT_TRUE(peer.heard() == std::string(kBytes / 2, 'a') + std::string(kBytes / 2, 'b'));
+    EXPECT_EQ(replier.times_all_sent, 1);
+}
+
+// The system tells a reset once, and the write may be the one that is told.
+TEST(Stream, ResetThatAWriteMeetsIsNoOrderlyEnd) {
+    Replier replier(100);
+    RawClient peer(replier.listener.address());
+    peer.say("x");
+    replier.run_for(Span{20000});
+    ASSERT_TRUE(replier.stream);
+    peer.reset();
+    {
+        const Loop::Event event(replier.loop, "test");
+        replier.stream->send("more");
+    }
+    replier.run_for(Span{50000});
+    ASSERT_TRUE(replier.closed.has_value());
+    EXPECT_EQ(*replier.closed, Closing::broken);
+}
+
 }  // namespace
 }  // namespace copperfront
