Ties go to connected decode servers: handshakes follow the traffic, not the fleet

Model servers hold few connections, and each new one costs a handshake.

Cause: decode servers tie within three streams of free memory, and each hand-over drew among all that tie: with 800 of them a gateway seldom meets one twice while its connection rests.

Change: the draw decides the cell as before; within that cell a server to which a connection of this gateway is likely to rest is taken instead, where it ties as well and the gateway has 40 such servers to spread over. Fleets with fewer than 40 connected decode servers that tie are chosen from as before, draw for draw. Free memory still comes first.

--- a/src/core/decode_placement.cpp
+++ b/src/core/decode_placement.cpp
@@ -58,6 +58,27 @@
     return hand_overs_[w].mean * std::exp(-seconds(now_ - handed_at_[w]) / kRateWindowS);
 }
 
+// Whether a connection that this gateway has used is likely to rest there.
+bool Rules::is_connected(ServerIndex s) const {
+    return connected_at_[s].us != 0 && now_ - connected_at_[s] < terms_.connections_rest * kConnectedPart;
+}
+
+// Against a handshake for nearly every request of a gateway whose fleet is large for its traffic: a tie
+// within a cell goes to a connected server, once there are enough of them to spread the requests over.
+ServerIndex Rules::connected_instead(ServerIndex drawn, double least_room) {
+    if (is_connected(drawn)) return drawn;
+    std::size_t connected = 0;
+    lots_.clear();
+    for (const ServerIndex s : candidates_) {
+        if (!is_connected(s) || writer_room(s) < least_room) continue;
+        ++connected;
+        if (cell_[s] == cell_[drawn]) lots_.emplace_back(0, s);
+    }
+    if (connected < kConnectedEnough || lots_.empty()) return drawn;
+    const auto place = static_cast<std::size_t>(chance() * static_cast<double>(lots_.size()));
+    return lots_[std::min(place, lots_.size() - 1)].second;
+}
+
 bool Rules::pick_writer(const Query& q, ServerIndex& best) {
     // Against links that are jammed: the state would be there too late, and hold up those behind it.
     std::array<bool, 3> late{};
@@ -90,6 +111,7 @@
             first = arrival;
             best = s;
         }
+        best = connected_instead(best, most - tie);
         return tell(q, best, false, pass == 0 ? "most free memory" : "no open writer shows room");
     }
     return false;
--- a/src/core/rules.cpp
+++ b/src/core/rules.cpp
@@ -56,7 +56,7 @@
     for (auto* count : {&cell_, &life_, &paced_, &waiting_}) count->resize(servers_);
     for (auto* span : {&shut_for_, &answer_took_}) span->resize(servers_);
     for (auto* at : {&born_, &full_at_, &shut_until_, &cold_filled_, &heard_at_, &told_at_, &paced_at_,
-                     &probed_at_, &answered_at_, &sent_at_})
+                     &probed_at_, &answered_at_, &sent_at_, &connected_at_})
         at->resize(servers_);
     for (auto& at : passed_) at.resize(servers_);
     for (auto& mutes : mutes_) mutes.resize(servers_);
@@ -74,6 +74,7 @@
     full_at_[s] = now_ - kFullFor * 2;
     shut_until_[s] = now_;
     shut_for_[s] = {};
+    connected_at_[s] = {};
     reported_memory_[s] = reported_unread_[s] = -1;
     told_at_[s] = now_ - kMs * 1000;
     unread_[s] = streams_[s] = sent_unread_[s] = sent_streams_[s] = newer_unread_[s] = newer_streams_[s] =
@@ -190,7 +191,7 @@
     now_ = host_.now();
     Query& q = queries_[i];
     const ServerIndex s = q.server;
-    heard_at_[s] = now_;
+    heard_at_[s] = connected_at_[s] = now_;
     if (q.server_life == life_[s]) {
         change_waiting(s, -1);
         unread_[s] = std::max(0.0, unread_[s] - q.read_tokens);
@@ -228,6 +229,7 @@
     const bool local =
         e == Ending::retracted || e == Ending::late || e == Ending::unreachable || e == Ending::unsent;
     if (!local) heard_at_[s] = now_;
+    if (!local) connected_at_[s] = e == Ending::broken ? Instant{} : now_;
     if (e == Ending::unreachable) shut_out(s, true);
     if (e == Ending::error || e == Ending::late || (e == Ending::broken && !outcome.stale)) note_bad(s);
     if (e == Ending::full && !outcome.no_state) {
--- a/src/core/rules.h
+++ b/src/core/rules.h
@@ -181,6 +181,8 @@
     bool tell(const Query& q, ServerIndex taken, bool reading, const char* why);
     bool pick_reader(const Query& q, ServerIndex& best);
     bool pick_writer(const Query& q, ServerIndex& best);
+    bool is_connected(ServerIndex s) const;
+    ServerIndex connected_instead(ServerIndex drawn, double least_room);
 
     double chance();
     double lot(const Query& q, ServerIndex s);
@@ -280,7 +282,7 @@
     std::vector<bool> cell_room_, zone_room_;  // as last looked at
     double far_spare_ = 0, spare_readers_ = 0;
     std::vector<Instant> born_, full_at_, shut_until_, cold_filled_, heard_at_, told_at_, paced_at_,
-        probed_at_, answered_at_, sent_at_;
+        probed_at_, answered_at_, sent_at_, connected_at_;
     Instant peers_paced_at_;
     std::vector<Span> shut_for_, answer_took_;
     std::vector<double> memory_, unread_, streams_, reported_memory_, reported_unread_, sent_unread_,
--- a/src/core/rules_tuning.h
+++ b/src/core/rules_tuning.h
@@ -30,6 +30,10 @@
 inline constexpr double kAlikeBefore = 0.5,
                         kPairsBefore = 8.0;  // queries that begin alike, before any have been met
 inline constexpr double kWriterTie = 3.0;    // streams of the size in hand; wider ties lose under overload
+// Of the time that an unused connection is kept: in which a server counts as connected. And from how many
+// connected decode servers on a tie goes to one of them.
+inline constexpr double kConnectedPart = 0.5;
+inline constexpr std::size_t kConnectedEnough = 40;
 inline constexpr Span kWeighEvery = kMs * 1000;
 
 // Health. Evidence is weighed as odds: how often an ill server fails, how often one must be thought to fail
--- a/src/core/terms.h
+++ b/src/core/terms.h
@@ -52,7 +52,8 @@
     double probe_fee = 0;
 
     Span quantum;
-    Span connect_within;  // a connection to a server not made by then will not come; 0: not told
+    Span connect_within;    // a connection to a server not made by then will not come; 0: not told
+    Span connections_rest;  // a connection to a server that is not used for so long is closed; 0: not told
     Span release_within;
     double start_capacity = 1;
     double tip_multiple = 1;
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -76,6 +76,7 @@
     }
     t.quantum = span_or(env, "quantum-ms", 0);
     t.connect_within = span_or(limits, "connect-timeout-ms", 0);
+    t.connections_rest = span_or(limits, "conn-idle-ms", 0);
     t.release_within = span_or(info, "release-ms", 1000);
     t.start_capacity = number_or(safety, "start-capacity", 1);
     t.tip_multiple = number_or(safety, "tip-multiple", 1);
