Limits without a test past their bound have one; configurations are read up to theirs

A configuration was read into memory twice before its size was looked at; it is read in pieces up to the bound and refused there.

--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -3,12 +3,12 @@
 #include <sys/resource.h>
 
 #include <CLI/CLI.hpp>
+#include <array>
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
 #include <memory>
 #include <optional>
-#include <sstream>
 #include <utility>
 
 #include "cli/commands.h"
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr std::size_t kMostFile = 64 << 20;
+constexpr std::size_t kReadAtOnce = 64 << 10;
 // Buffers come and go with queries; what is freed goes back to the system, as its limit on memory counts it.
 constexpr int kTrimAt = 256 << 10, kMapAt = 64 << 10;
 
@@ -36,13 +37,22 @@
     }
 }
 
+// Throws BadInput past the bound, without holding more than that.
+std::string read_whole(std::istream& file) {
+    std::string text;
+    std::array<char, kReadAtOnce> piece{};
+    while (file.read(piece.data(), piece.size()), file.gcount() > 0) {
+        text.append(piece.data(), static_cast<std::size_t>(file.gcount()));
+        if (text.size() > kMostFile) throw platform::BadInput("longer than 64 MB");
+    }
+    return text;
+}
+
 platform::NodeTerms read_file(const std::string& path) {
     std::ifstream file(path, std::ios::binary);
     if (!file) throw platform::BadInput("cannot be opened; expected a readable file");
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (text.str().size() > kMostFile) throw platform::BadInput("longer than 64 MB");
-    platform::NodeTerms terms = platform::read_node_terms(text.str(), variable);
+    const std::string text = read_whole(file);
+    platform::NodeTerms terms = platform::read_node_terms(text, variable);
     check_address("listen", terms.listen);
     if (!terms.discovery.empty()) check_address("discovery", terms.discovery);
     return terms;
--- a/tests/core/hold_ledger_test.cpp
+++ b/tests/core/hold_ledger_test.cpp
@@ -326,6 +326,21 @@
         << history;
 }
 
+TEST_F(LedgerTest, RequestsPastTheBooksAreCountedAndThoseInThemKept) {
+    constexpr RequestKey kMost = 100000;
+    for (RequestKey key = 1; key <= kMost + 3; ++key) {
+        ledger.attempt_started(key, key, kPrefillServer, true, now);
+        ledger.attempt_over(key, key, Ending::broken, now);
+    }
+    EXPECT_EQ(ledger.size(), kMost);
+    EXPECT_EQ(ledger.overflows(), 3u);
+    EXPECT_EQ(ledger.entries(kMost).size(), 1u);
+    EXPECT_TRUE(ledger.entries(kMost + 1).empty());
+    pass(ms(5000));
+    EXPECT_EQ(ledger.need_of_release(1, now), Need::due);
+    EXPECT_EQ(ledger.need_of_release(kMost + 1, now), Need::nothing);
+}
+
 TEST_F(LedgerTest, NothingIsKeptOfWhatIsOver) {
     for (RequestKey key = 100; key < 200; ++key) {
         ledger.attempt_started(key, kPrefill, kPrefillServer, true, now);
--- a/tests/node/large_fleet_test.cpp
+++ b/tests/node/large_fleet_test.cpp
@@ -135,5 +135,36 @@
     EXPECT_LE(fleet.answer_time(0.5), ms(69) + kSlowerAtMost);
 }
 
+// Against a file that fills the memory before anything is said of it.
+TEST(LargeFleet, ConfigurationPastItsBoundIsRefusedWithAClearError) {
+    constexpr std::size_t kPastTheBound = (64 << 20) + 1;
+    const std::string file =
+        std::filesystem::temp_directory_path() / ("past-the-bound-" + std::to_string(getpid()));
+    std::ofstream(file) << std::string(kPastTheBound, ' ');
+    Loop loop;
+    day::Processes processes(loop);
+    std::optional<int> status;
+    day::Processes::Start start;
+    start.name = "gateway";
+    start.program = COPPERFRONT_PROGRAM;
+    start.args = {"node", file};
+    start.errors = file + ".log";
+    start.ended = [&](int how) {
+        status = how;
+        loop.stop();
+    };
+    processes.start(std::move(start));
+    Timer patience(loop, [&] { loop.stop(); });
+    patience.set(ms(10000));
+    loop.run();
+    std::ifstream log(file + ".log");
+    const std::string said((std::istreambuf_iterator<char>(log)), {});
+    std::filesystem::remove(file);
+    std::filesystem::remove(file + ".log");
+    ASSERT_TRUE(status.has_value());
+    EXPECT_NE(*status, 0);
+    EXPECT_NE(said.find("longer than 64 MB"), std::string::npos) << said;
+}
+
 }  // namespace
 }  // namespace copperfront
--- a/tests/node/watch_test.cpp
+++ b/tests/node/watch_test.cpp
@@ -118,6 +118,25 @@
     EXPECT_LT(w.loop.now() - stopped, ms(2000));
 }
 
+// Against changes that are told too late because their answer never ends.
+TEST(Watch, AnswerToAWatchThatGoesOnAndOnIsGivenUpAndTheListAskedFor) {
+    ScriptedDiscovery w;
+    w.answer(w.call(0), w.list(7, true, ""));
+    const ScriptedServer::Request watch = w.next_watch(0);
+    const std::string text = response_of(200, "", w.list(8, false, w.entry("w9", "up")));
+    const std::size_t calls = w.calls();
+    const Instant began = w.loop.now();
+    std::size_t at = 0;
+    while (w.calls() == calls && w.loop.now() - began < kToldWithin && at + 1 < text.size()) {
+        w.agent.send(watch.connection, text.substr(at++, 1));
+        w.pass(ms(100));
+    }
+    ASSERT_GT(w.calls(), calls);
+    EXPECT_LT(w.loop.now() - began, ms(3500));
+    w.answer(w.agent.requests().back(), w.list(8, true, w.entry("w9", "up")));
+    w.until("it is known", [&] { return w.node->knows("w9"); });
+}
+
 // Against several lists that are read beside each other, each of them for nothing.
 TEST(Watch, ListOnItsWayIsNotAskedForTenTimesASecond) {
     ScriptedDiscovery w;
