--- a/src/cli/soak_command.cpp
+++ b/src/cli/soak_command.cpp
@@ -121,6 +121,11 @@
     sub->add_option("--seconds", options->seconds, "of each run under faults")
         ->check(CLI::Range(1.0, 600.0))
         ->capture_default_str();
+    sub->add_option("--quiet-seconds", options->quiet_seconds, "of load alone before the first fault")
+        ->check(CLI::Range(0.0, 3600.0));
+    sub->add_option("--discovery-out-seconds", options->discovery_out_seconds,
+                    "discovery says nothing for so long from the first fault on")
+        ->check(CLI::Range(0.0, 600.0));
     sub->add_option("--gateways", options->gateways)->check(CLI::Range(1, 50))->capture_default_str();
     sub->add_option("--prefill", options->prefill_servers)->check(CLI::Range(1, 50))->capture_default_str();
     sub->add_option("--decode", options->decode_servers)->check(CLI::Range(1, 50))->capture_default_str();
--- a/src/soak/fleet.cpp
+++ b/src/soak/fleet.cpp
@@ -198,7 +198,8 @@
         start.environment = {"LD_PRELOAD=" + options_.shim,
                              "FAULT_SHIM_SEED=" + std::to_string(options_.seed * 100 + mine.life),
                              "FAULT_SHIM_LOG=" + run + ".shim",
-                             "FAULT_SHIM_CLOCK=" + std::to_string(wall_clock_error(gateway + mine.life))};
+                             "FAULT_SHIM_CLOCK=" + std::to_string(wall_clock_error(gateway + mine.life)),
+                             "FAULT_SHIM_CLOCK_STEP=" + std::to_string(wall_clock_error(gateway))};
     }
     start.ended = [this, gateway](int status) { gateway_ended(gateway, status); };
     processes_.start(std::move(start));
@@ -475,7 +476,10 @@
 
 void Fleet::silence_discovery(Span span) {
     platform_->discovery_is_silent(true);
-    after(span, [this] { platform_->discovery_is_silent(false); });
+    silent_until_ = std::max(silent_until_, loop_.now() + span);
+    after(span, [this] {
+        if (loop_.now() >= silent_until_) platform_->discovery_is_silent(false);
+    });
 }
 
 void Fleet::move_discovery() {
--- a/src/soak/soak_run.h
+++ b/src/soak/soak_run.h
@@ -14,7 +14,9 @@
     std::string gateway_program;  // empty: the same
     std::string folder;           // for configurations, logs and records; made where it is not there
     std::uint32_t seed = 1;
-    double seconds = 10;  // under faults
+    double seconds = 10;               // under faults
+    double quiet_seconds = 0;          // under load before the first fault
+    double discovery_out_seconds = 0;  // from the first fault on
     std::size_t gateways = 5, prefill_servers = 12, decode_servers = 12, clients = 40;
     std::size_t listed_servers = 0;  // entries of the list; 0: as many as there are servers
     double least_cpu_share = 1;      // of a core, for a gateway
--- a/tests/soak/fault_shim.cpp
+++ b/tests/soak/fault_shim.cpp
@@ -8,6 +8,7 @@
 //   FAULT_SHIM_SABOTAGE  makes a gateway that breaks a rule, to see that it is found out: "releases"
 //                     swallows what it releases, "answers" its error answers to clients
 //   FAULT_SHIM_CLOCK  microseconds by which the wall clock is wrong from the start; 0 by default
+//   FAULT_SHIM_CLOCK_STEP  microseconds by which it is stepped forward and back in service, each 1.5 s
 //
 // Connections of clients meet only what passes by itself (interruptions, short counts, lack of memory); those
 // to servers and discovery may break as well. What breaks is really broken, so that both ends agree.
@@ -36,6 +37,7 @@
 constexpr double kBurstRate = 0.4;
 constexpr std::uint64_t kBurstOneIn = 40;  // slices of time with a burst of one kind of call
 constexpr std::uint64_t kSliceNanoseconds = 150000000;
+constexpr std::uint64_t kSlicesOfClockStep = 10;
 constexpr std::uint64_t kNanosecondsPerSecond = 1000000000;
 constexpr long kMicrosecondsPerSecond = 1000000;
 // The first fault of each call comes by this one of its calls at the latest.
@@ -79,13 +81,15 @@
     std::uint64_t seed = 0;
     double rate = 0.004;
     int log = -1;
-    std::int64_t wall_clock_off_us = 0;
+    std::int64_t wall_clock_off_us = 0, wall_clock_step_us = 0;
     const char* sabotage = "";
     Settings() {
         if (const char* text = getenv("FAULT_SHIM_SABOTAGE")) sabotage = text;
         if (const char* text = getenv("FAULT_SHIM_SEED")) seed = strtoull(text, nullptr, 10);
         if (const char* text = getenv("FAULT_SHIM_RATE")) rate = strtod(text, nullptr);
         if (const char* text = getenv("FAULT_SHIM_CLOCK")) wall_clock_off_us = strtoll(text, nullptr, 10);
+        if (const char* text = getenv("FAULT_SHIM_CLOCK_STEP"))
+            wall_clock_step_us = strtoll(text, nullptr, 10);
         if (const char* text = getenv("FAULT_SHIM_LOG"))
             log = open(text, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     }
@@ -332,7 +336,9 @@
     static const auto next = real<int(clockid_t, timespec*)>("clock_gettime");
     const int result = next(which, at);
     if (which != CLOCK_REALTIME || result != 0) return result;
-    const std::int64_t off = settings().wall_clock_off_us;
+    const bool stepped = slice_now() / kSlicesOfClockStep % 2 == 1;
+    const std::int64_t off =
+        settings().wall_clock_off_us + (stepped ? settings().wall_clock_step_us : std::int64_t{0});
     at->tv_sec += off / kMicrosecondsPerSecond;
     at->tv_nsec += off % kMicrosecondsPerSecond * 1000;
     if (at->tv_nsec < 0) {
