--- a/bench/limits_bench.cpp
+++ b/bench/limits_bench.cpp
@@ -70,15 +70,15 @@
     for (auto _ : state) {
         now = now + Span{100};
         benchmark::DoNotOptimize(a.query_came(0, 500, false, now).why);
-        a.launched_first(0, now);
-        a.launched_first(0, now);
+        a.first_attempt_started(0, now);
+        a.first_attempt_started(0, now);
         a.began(0, Span{50000}, now);
         a.tokens_came(0, 20, now);
         a.query_over(0, 500, true, now);
     }
 }
 
-// A fleet that can do 400 launches a second, of which half fail at once, in a time that a good one would
+// A fleet that can do 400 attempts a second, of which half fail at once, in a time that a good one would
 // take; each query may have six. Queries come at 320 a second and are of use for a second. Returns the part
 // that is settled.
 double goodput(double retry_share) {
@@ -90,7 +90,7 @@
     std::minstd_rand chance(11);
     struct Query {
         Instant came;
-        int launches = 0;
+        int attempts = 0;
     };
     std::deque<Query> line;
     double due = 0, came = 0, settled = 0, room = 0;
@@ -98,7 +98,7 @@
         const Instant now = kStart + Span{t * 1000};
         for (due += 0.32; due >= 1; due -= 1) {
             line.push_back({now, 0});
-            a.launched_first(0, now);
+            a.first_attempt_started(0, now);
             came += 1;
         }
         for (room += 0.4; room >= 1 && !line.empty(); room -= 1) {
@@ -108,7 +108,7 @@
             const bool late = now - q.came > Span{1000000};
             if (chance() % 2 == 0) {
                 settled += !late;
-            } else if (!late && ++q.launches < 6 && a.may_launch_again(0, now)) {
+            } else if (!late && ++q.attempts < 6 && a.may_attempt_again(0, now)) {
                 line.push_back(q);
             }
         }
--- a/bench/watching_bench.cpp
+++ b/bench/watching_bench.cpp
@@ -16,7 +16,7 @@
     t.categories[0].latency_goal = ms(1500);
     t.kinds = {{Role::reader, 200000}, {Role::writer, 100000}};
     t.cancel = true;
-    t.max_launches = 4;
+    t.max_attempts = 4;
     t.quantum = ms(4);
     t.release_within = ms(1000);
     t.reports_memory = t.reports_unread = told;
@@ -47,12 +47,12 @@
         Outcome o;
         o.ending = Ending::read;
         o.report = {0.3, 1};
-        desk.launch_ended(outside.sent.back().launch, o);
+        desk.attempt_ended(outside.sent.back().attempt, o);
         QueryIndex whose = 0;
-        const LaunchId write = outside.sent.back().launch;
+        const AttemptId write = outside.sent.back().attempt;
         desk.token_came(write, whose);
         o.ending = Ending::settled;
-        desk.launch_ended(write, o);
+        desk.attempt_ended(write, o);
         outside.clock = outside.clock + ms(5);
         desk.time_came();
         if (n % 1000 == 0) {
--- a/src/audit/audit.cpp
+++ b/src/audit/audit.cpp
@@ -9,8 +9,8 @@
 
 // A call that was on its way when a gateway that was told to stop closed the connection was never taken.
 constexpr Stamp kCrossing = 300000;
-// A cold start's budget is a mean over a window; this many mean launches more are chance, not a push.
-constexpr double kSlackLaunches = 4;
+// A cold start's budget is a mean over a window; this many mean attempts more are chance, not a push.
+constexpr double kSlackAttempts = 4;
 // A connection that closes without its gateway's end by force: how near the two stamps must lie.
 constexpr Stamp kNear = 2000000;
 
@@ -40,7 +40,7 @@
 class Checker {
   public:
     explicit Checker(const History& h) : h_(h) {
-        for (const Launched& l : h.launched) by_query_[l.query].push_back(&l);
+        for (const StartedAttempt& l : h.started) by_query_[l.query].push_back(&l);
         for (const Run& r : h.runs) runs_of_[r.server].push_back(&r);
     }
 
@@ -60,15 +60,15 @@
     }
 
   private:
-    void breach(int rule, const std::string& query, const std::string& launch, const Where& at,
+    void breach(int rule, const std::string& query, const std::string& attempt, const Where& at,
                 std::string what) {
-        r_.breaches.push_back({rule, query, launch, std::move(what), at, query, ""});
+        r_.breaches.push_back({rule, query, attempt, std::move(what), at, query, ""});
     }
-    // Of a caller's try, which knows nothing of its name at the gateway; its launches do.
+    // Of a caller's try, which knows nothing of its name at the gateway; its attempts do.
     void breach_of(const Asked& a, const std::string& name, const Where& at, std::string what) {
         breach(1, name, "", at, std::move(what));
-        const auto launches = launches_of(a);
-        r_.breaches.back().traced = launches.empty() ? "" : launches.front()->query;
+        const auto attempts = attempts_of(a);
+        r_.breaches.back().traced = attempts.empty() ? "" : attempts.front()->query;
     }
 
     const Figures::Category& figures(const std::string& category) const {
@@ -91,9 +91,9 @@
         return with_life.substr(0, with_life.rfind('.'));
     }
 
-    // The launches of one try: those with its mark, by its gateway, while it was open.
-    std::vector<const Launched*> launches_of(const Asked& a) const {
-        std::vector<const Launched*> out;
+    // The attempts of one try: those with its mark, by its gateway, while it was open.
+    std::vector<const StartedAttempt*> attempts_of(const Asked& a) const {
+        std::vector<const StartedAttempt*> out;
         if (a.mark.empty()) return out;
         // Against taking a caller's repeat for the try before it, which was declined a moment ago: whatever
         // the gateway began after the repeat was asked is the repeat's.
@@ -105,7 +105,7 @@
                 repeated = it->second->where.at;
         const auto [from, to] = by_mark_.equal_range(a.mark);
         for (auto it = from; it != to; ++it) {
-            const Launched& l = *it->second;
+            const StartedAttempt& l = *it->second;
             if (gateway_name(l.gateway) == a.gateway && l.where.at >= a.where.at &&
                 (repeated == kNever || began_.at(l.query) < repeated) &&
                 (a.final == kNever || l.where.at <= a.final + kNear))
@@ -116,7 +116,7 @@
 
     // ---- rule 1
     void answers() {
-        for (const Launched& l : h_.launched) {
+        for (const StartedAttempt& l : h_.started) {
             if (!l.mark.empty()) by_mark_.emplace(l.mark, &l);
             const auto [it, fresh] = began_.try_emplace(l.query, l.where.at);
             if (!fresh) it->second = std::min(it->second, l.where.at);
@@ -125,7 +125,7 @@
             if (!a.mark.empty()) asked_by_mark_.emplace(a.mark, &a);
         std::map<std::string, CategoryReport> reports;
         std::map<std::string, std::vector<double>> firsts, paces;
-        std::map<std::string, std::pair<double, double>> launches;
+        std::map<std::string, std::pair<double, double>> attempts;
         for (const Asked& a : h_.asked) {
             CategoryReport& c = reports[a.category];
             c.name = a.category;
@@ -177,79 +177,79 @@
                 if (first <= goal && (f.token_gap == 0 || pace <= ms(f.token_gap))) ++c.in_goal;
             }
             if (a.ending != "not taken") {
-                launches[a.category].first += static_cast<double>(launches_of(a).size());
-                launches[a.category].second += 1;
+                attempts[a.category].first += static_cast<double>(attempts_of(a).size());
+                attempts[a.category].second += 1;
             }
         }
         for (auto& [name, c] : reports) {
             c.first_ms = quantiles(firsts[name]);
             c.pace_ms = quantiles(paces[name]);
-            if (launches[name].second > 0) c.launches = launches[name].first / launches[name].second;
+            if (attempts[name].second > 0) c.attempts = attempts[name].first / attempts[name].second;
             r_.categories.push_back(c);
         }
     }
 
     // ---- rule 2
-    static bool proves_unrun(const Launched& l, Stamp by) {
+    static bool proves_unrun(const StartedAttempt& l, Stamp by) {
         return l.reading || (l.out <= by && (l.ending == "full" || l.ending == "nostate"));
     }
 
     void effects() {
-        std::map<std::string, std::vector<const Launched*>> ran;
-        for (const auto& [query, launches] : by_query_) {
-            const Figures::Category& c = figures(launches.front()->category);
+        std::map<std::string, std::vector<const StartedAttempt*>> ran;
+        for (const auto& [query, attempts] : by_query_) {
+            const Figures::Category& c = figures(attempts.front()->category);
             if (c.effect == "pure") continue;
-            const Launched* may_have_run = nullptr;
-            for (std::size_t i = 0; i < launches.size(); ++i) {
-                const Launched& l = *launches[i];
+            const StartedAttempt* may_have_run = nullptr;
+            for (std::size_t i = 0; i < attempts.size(); ++i) {
+                const StartedAttempt& l = *attempts[i];
                 if (l.reading) continue;
                 if (l.ran && c.effect == "effectful" && !l.mark.empty()) ran[l.mark].push_back(&l);
                 for (std::size_t j = 0; j < i; ++j)
-                    if (!proves_unrun(*launches[j], l.where.at) && !may_have_run) may_have_run = launches[j];
+                    if (!proves_unrun(*attempts[j], l.where.at) && !may_have_run) may_have_run = attempts[j];
                 if (!may_have_run) continue;
                 if (c.effect == "effectful")
-                    breach(2, query, l.launch, l.where,
+                    breach(2, query, l.attempt, l.where,
                            "an effectful query was sent again to " + l.engine + " though its launch " +
-                               may_have_run->launch + " at " + may_have_run->engine + " may have run");
+                               may_have_run->attempt + " at " + may_have_run->engine + " may have run");
                 else
                     receipted(l, *may_have_run, c);
             }
         }
-        for (const auto& [mark, launches] : ran)
-            if (launches.size() > 1)
+        for (const auto& [mark, attempts] : ran)
+            if (attempts.size() > 1)
                 breach(
-                    2, launches[1]->query, launches[1]->launch, launches[1]->where,
-                    "the effect of mark " + mark + " happened " + std::to_string(launches.size()) + " times");
+                    2, attempts[1]->query, attempts[1]->attempt, attempts[1]->where,
+                    "the effect of mark " + mark + " happened " + std::to_string(attempts.size()) + " times");
         for (const Asked& a : h_.asked) {
             const Figures::Category& c = figures(a.category);
             const bool harmless = c.effect == "pure" || (c.effect == "receipted" && c.group == "all");
             if (a.ending != "declined" || harmless) continue;
-            for (const Launched* l : launches_of(a))
+            for (const StartedAttempt* l : attempts_of(a))
                 if (!proves_unrun(*l, a.final))
-                    breach(2, l->query, l->launch, a.where,
+                    breach(2, l->query, l->attempt, a.where,
                            "declined, which tells that trying again is harmless, though its launch at " +
                                l->engine + " may have run");
         }
     }
 
-    void receipted(const Launched& l, const Launched& first, const Figures::Category& c) {
+    void receipted(const StartedAttempt& l, const StartedAttempt& first, const Figures::Category& c) {
         if (l.where.at - first.where.at > c.window)
-            breach(2, l.query, l.launch, l.where,
+            breach(2, l.query, l.attempt, l.where,
                    "a receipted query was sent again after its mark was forgotten, " +
-                       fixed(ms(l.where.at - first.where.at)) + " ms after launch " + first.launch);
+                       fixed(ms(l.where.at - first.where.at)) + " ms after launch " + first.attempt);
         const Run& here = h_.runs[l.run];
         const Run& there = h_.runs[first.run];
         if (c.group == "zone" && here.zone != there.zone)
-            breach(2, l.query, l.launch, l.where,
+            breach(2, l.query, l.attempt, l.where,
                    "a receipted query was sent again outside its zone, to " + l.engine);
         if (c.group == "cell" && (here.zone != there.zone || here.cell != there.cell))
-            breach(2, l.query, l.launch, l.where,
+            breach(2, l.query, l.attempt, l.where,
                    "a receipted query was sent again outside its cell, to " + l.engine);
     }
 
     // ---- rule 3
     void drains() {
-        for (const Launched& l : h_.launched) {
+        for (const StartedAttempt& l : h_.started) {
             const auto gateway = h_.told.find(l.gateway);
             if (gateway == h_.told.end()) continue;
             const auto server = gateway->second.find(h_.runs[l.run].server);
@@ -263,14 +263,14 @@
                     barred = &t;
             }
             if (barred && l.where.at > barred->where.at + h_.figures.drain_grace)
-                breach(3, l.query, l.launch, l.where,
+                breach(3, l.query, l.attempt, l.where,
                        "sent to " + l.engine + " " + fixed(ms(l.where.at - barred->where.at)) + " ms after " +
                            l.gateway + " was told that it is " + barred->standing);
         }
     }
 
     // ---- rule 4
-    bool knew_of_start(const Launched& l, const Run& run) const {
+    bool knew_of_start(const StartedAttempt& l, const Run& run) const {
         const auto gateway = h_.told.find(l.gateway);
         if (gateway == h_.told.end()) return false;
         const auto server = gateway->second.find(run.server);
@@ -283,7 +283,7 @@
     void cold_starts() {
         // What a send weighs is the mean work of its category at that kind of server.
         std::map<std::pair<std::string, bool>, std::pair<double, double>> work;
-        for (const Launched& l : h_.launched) {
+        for (const StartedAttempt& l : h_.started) {
             auto& [sum, count] = work[{l.category, l.reading}];
             sum += l.work;
             count += 1;
@@ -293,12 +293,12 @@
             if (run.born_ms == 0 || run.warm <= 0) continue;
             Budget budget{run.engine, 0, 0, run.fell};
             struct Sent {
-                const Launched* launch;
+                const StartedAttempt* attempt;
                 double work;
                 bool knew;
             };
             std::vector<Sent> sent;
-            for (const Launched& l : h_.launched) {
+            for (const StartedAttempt& l : h_.started) {
                 if (l.run != i || l.where.at > run.where.at + run.warm) continue;
                 const auto& [sum, count] = work.at({l.category, l.reading});
                 sent.push_back({&l, sum / count, knew_of_start(l, run)});
@@ -307,12 +307,12 @@
             double pushed = 0, known = 0, all = 0, all_known = 0;
             bool told = false;
             for (std::size_t n = 0; n < sent.size(); ++n) {
-                const Stamp at = sent[n].launch->where.at;
+                const Stamp at = sent[n].attempt->where.at;
                 pushed += sent[n].work;
                 known += sent[n].knew ? sent[n].work : 0;
                 all += sent[n].work;
                 all_known += sent[n].knew ? sent[n].work : 0;
-                for (; at - sent[from].launch->where.at > h_.figures.fall; ++from) {
+                for (; at - sent[from].attempt->where.at > h_.figures.fall; ++from) {
                     pushed -= sent[from].work;
                     known -= sent[from].knew ? sent[from].work : 0;
                 }
@@ -320,12 +320,12 @@
                 const double budgeted = h_.figures.tip_multiple * can_do(run, begin, begin + h_.figures.fall);
                 const double share = pushed / budgeted;
                 budget.share = std::max(budget.share, share);
-                const double slack = kSlackLaunches * pushed / static_cast<double>(n - from + 1);
+                const double slack = kSlackAttempts * pushed / static_cast<double>(n - from + 1);
                 // A server that has fallen over was pushed, whatever the sums by mean work say.
                 const bool fell = run.fell && n + 1 == sent.size();
                 if ((pushed <= budgeted + slack && !fell) || known < pushed * 2 / 3 || told) continue;
                 told = true;
-                breach(4, sent[n].launch->query, sent[n].launch->launch, sent[n].launch->where,
+                breach(4, sent[n].attempt->query, sent[n].attempt->attempt, sent[n].attempt->where,
                        "cold " + run.engine + (run.fell ? " fell over: it was sent " : " was sent ") +
                            fixed(share, 2) + " times its budget within " + fixed(ms(h_.figures.fall), 0) +
                            " ms, " + fixed(100 * known / pushed, 0) +
@@ -366,7 +366,7 @@
             // also where the read ended only after the kill.
             Stamp asked = s.where.at;
             if (const auto it = by_query_.find(s.query); it != by_query_.end())
-                for (const Launched* l : it->second)
+                for (const StartedAttempt* l : it->second)
                     if (l->reading && l->state == s.state) asked = std::min(asked, l->where.at);
             const auto ends = h_.ends.find(gateway_name(gateway));
             Stamp until = s.until;
@@ -380,7 +380,7 @@
             }
             std::vector<std::pair<Stamp, Stamp>> busy = deaf_to(h_.runs[s.run], gateway);
             if (const auto it = by_query_.find(s.query); it != by_query_.end())
-                for (const Launched* l : it->second) busy.emplace_back(l->where.at, l->over);
+                for (const StartedAttempt* l : it->second) busy.emplace_back(l->where.at, l->over);
             std::sort(busy.begin(), busy.end());
             Stamp free_since = s.where.at, longest = 0;
             for (const auto& [from, to] : busy) {
@@ -402,7 +402,7 @@
         std::set<std::string> fetched;
         for (const Held& s : h_.held)
             if (s.why == "fetched") fetched.insert(s.state);
-        for (const Launched& l : h_.launched) {
+        for (const StartedAttempt& l : h_.started) {
             const bool useful = l.reading ? fetched.count(l.state) != 0 : l.ending == "settled" && !l.lost;
             (l.reading ? r_.read_work : r_.write_work) += l.work;
             if (!useful && l.ending != "full" && l.ending != "nostate")
@@ -412,10 +412,10 @@
 
     const History& h_;
     Report r_;
-    std::map<std::string, std::vector<const Launched*>> by_query_;
-    std::multimap<std::string, const Launched*> by_mark_;
+    std::map<std::string, std::vector<const StartedAttempt*>> by_query_;
+    std::multimap<std::string, const StartedAttempt*> by_mark_;
     std::multimap<std::string, const Asked*> asked_by_mark_;
-    std::map<std::string, Stamp> began_;  // by query: its first launch
+    std::map<std::string, Stamp> began_;  // by query: its first attempt
     std::map<std::string, std::vector<const Run*>> runs_of_;
 };
 
@@ -443,7 +443,7 @@
                       "%-16s %7zu %8zu %8zu %8zu %8zu %9zu %5zu %5zu | %9.1f %9.1f | %8.1f %8.1f | %.2f\n",
                       c.name.c_str(), c.asked, c.settled, c.in_goal, c.declined, c.given_up, c.not_taken,
                       c.left, c.lost, c.first_ms.half, c.first_ms.ninety_nine, c.pace_ms.half,
-                      c.pace_ms.ninety_nine, c.launches);
+                      c.pace_ms.ninety_nine, c.attempts);
         out += line;
     }
     const auto share = [](double part, double whole) { return whole > 0 ? 100 * part / whole : 0; };
@@ -473,7 +473,7 @@
         std::size_t told = 0;
         for (const Breach& b : r.breaches) {
             if (b.rule != rule || ++told > kMostTold) continue;
-            out += "  query " + b.query + (b.launch.empty() ? "" : ", launch " + b.launch) + ", " +
+            out += "  query " + b.query + (b.attempt.empty() ? "" : ", launch " + b.attempt) + ", " +
                    fixed(static_cast<double>(b.where.at) / 1e6, 3) + " s, " + b.where.file + ":" +
                    std::to_string(b.where.line) + ": " + b.what + "\n";
             for (std::size_t from = 0; from < b.story.size();) {
@@ -502,7 +502,7 @@
     for (const Breach& b : r.breaches)
         out["breaches"].push_back({{"rule", b.rule},
                                    {"query", b.query},
-                                   {"launch", b.launch},
+                                   {"launch", b.attempt},
                                    {"what", b.what},
                                    {"story", b.story},
                                    {"file", b.where.file},
@@ -523,7 +523,7 @@
                                      {"first_p99_ms", c.first_ms.ninety_nine},
                                      {"pace_p50_ms", c.pace_ms.half},
                                      {"pace_p99_ms", c.pace_ms.ninety_nine},
-                                     {"launches", c.launches}});
+                                     {"launches", c.attempts}});
     out["budgets"] = Json::array();
     for (const Budget& b : r.budgets)
         out["budgets"].push_back(
--- a/src/audit/audit.h
+++ b/src/audit/audit.h
@@ -11,7 +11,7 @@
 
 struct Breach {
     int rule = 0;
-    std::string query, launch, what;
+    std::string query, attempt, what;
     Where where;
     std::string traced;  // the query's name at its gateway, where it is known
     std::string story;   // of its decisions, where traces were kept
@@ -34,7 +34,7 @@
     std::size_t asked = 0, settled = 0, in_goal = 0, declined = 0, given_up = 0, not_taken = 0, left = 0,
                 lost = 0;
     Quantiles first_ms, pace_ms;
-    double launches = 0;  // a query that was taken
+    double attempts = 0;  // a query that was taken
 };
 
 struct Report {
--- a/src/audit/history.cpp
+++ b/src/audit/history.cpp
@@ -105,19 +105,19 @@
 }
 
 void read_engine(const RecordFile& file, History& h) {
-    std::map<std::string, std::size_t> launch_at, held_at;  // by gateway and launch; by state
+    std::map<std::string, std::size_t> attempt_at, held_at;  // by gateway and attempt; by state
     std::size_t run = h.runs.size();
     bool begun = false;
     const auto close_run = [&](Stamp at) {
         if (!begun) return;
         h.runs[run].until = std::min(h.runs[run].until, at);
-        for (auto& [key, i] : launch_at) h.launched[i].over = std::min(h.launched[i].over, at);
+        for (auto& [key, i] : attempt_at) h.started[i].over = std::min(h.started[i].over, at);
         for (auto& [key, i] : held_at) {
             if (h.held[i].until != kNever) continue;
             h.held[i].until = at;
             h.held[i].why = "its engine ended";
         }
-        launch_at.clear();
+        attempt_at.clear();
         held_at.clear();
     };
     for (const Record& r : file.records) {
@@ -144,12 +144,12 @@
         if (!begun) continue;
         const std::string key = text(f, "gw") + "/" + text(f, "l");
         if (r.event == "in") {
-            Launched l;
+            StartedAttempt l;
             l.where = where(file, r);
             l.where.at = static_cast<Stamp>(number(f, "came", static_cast<double>(r.at)));
             l.engine = file.name;
             l.query = text(f, "q");
-            l.launch = text(f, "l");
+            l.attempt = text(f, "l");
             l.gateway = text(f, "gw");
             l.category = text(f, "cat");
             l.mark = text(f, "mark");
@@ -157,12 +157,12 @@
             l.reading = text(f, "m") == "read";
             l.work = number(f, "work");
             l.run = run;
-            launch_at[key] = h.launched.size();
-            h.launched.push_back(l);
+            attempt_at[key] = h.started.size();
+            h.started.push_back(l);
         } else if (r.event == "out" || r.event == "lost" || r.event == "cancel" || r.event == "ran") {
-            const auto it = launch_at.find(key);
-            if (it == launch_at.end()) continue;
-            Launched& l = h.launched[it->second];
+            const auto it = attempt_at.find(key);
+            if (it == attempt_at.end()) continue;
+            StartedAttempt& l = h.started[it->second];
             if (r.event == "ran") {
                 l.ran = true;
                 continue;
@@ -174,8 +174,8 @@
             l.tokens = number(f, "tokens");
         } else if (r.event == "closed") {
             const std::string gw = text(f, "gw") + "/";
-            for (auto& [k, i] : launch_at)
-                if (k.rfind(gw, 0) == 0) h.launched[i].over = std::min(h.launched[i].over, r.at);
+            for (auto& [k, i] : attempt_at)
+                if (k.rfind(gw, 0) == 0) h.started[i].over = std::min(h.started[i].over, r.at);
         } else if (r.event == "hold") {
             held_at[text(f, "state")] = h.held.size();
             h.held.push_back({where(file, r), file.name, text(f, "q"), text(f, "state"), "", kNever, run});
@@ -269,7 +269,7 @@
         Run& r = h.runs[i];
         for (const Ended& e : h.ends[r.engine])
             if (e.by_force && e.at >= r.where.at && e.at < r.until) r.until = e.at;
-        for (Launched& l : h.launched)
+        for (StartedAttempt& l : h.started)
             if (l.engine == r.engine && l.run == i) l.over = std::min(l.over, r.until);
         for (Held& s : h.held) {
             if (s.engine != r.engine || s.run != i || s.until <= r.until) continue;
@@ -277,8 +277,9 @@
             s.why = "its engine ended";
         }
     }
-    std::stable_sort(h.launched.begin(), h.launched.end(),
-                     [](const Launched& a, const Launched& b) { return a.where.at < b.where.at; });
+    std::stable_sort(
+        h.started.begin(), h.started.end(),
+        [](const StartedAttempt& a, const StartedAttempt& b) { return a.where.at < b.where.at; });
     return h;
 }
 
--- a/src/audit/history.h
+++ b/src/audit/history.h
@@ -1,4 +1,4 @@
-// The records of a day, joined: what callers asked and got, which launches each engine saw, which states lay
+// The records of a day, joined: what callers asked and got, which attempts each engine saw, which states lay
 // where, who was told what of which server, and which processes ended by force. Read from the peers' records
 // alone.
 #pragma once
@@ -46,9 +46,9 @@
     std::vector<Where> more;   // where each extra message stands
 };
 
-struct Launched {
+struct StartedAttempt {
     Where where;
-    std::string engine, query, launch, gateway, category, mark, state;
+    std::string engine, query, attempt, gateway, category, mark, state;
     bool reading = false, told_cold = false;
     double work = 0;
     Stamp out = kNever;   // its answer left the engine
@@ -91,7 +91,7 @@
 struct History {
     Figures figures;
     std::vector<Asked> asked;
-    std::vector<Launched> launched;  // in time
+    std::vector<StartedAttempt> started;  // in time
     std::vector<Held> held;
     std::vector<Run> runs;
     // By gateway's name and life, then by server's address.
--- a/src/core/admission.cpp
+++ b/src/core/admission.cpp
@@ -131,7 +131,7 @@
             continue;
         }
         // Against a state that a read left behind after its answer was lost.
-        if (q.launches > 0 && now_ - q.parked_since >= terms_.release_within * 0.4) {
+        if (q.attempts > 0 && now_ - q.parked_since >= terms_.release_within * 0.4) {
             host_.release(i);
             q.parked_since = now_;
         }
--- a/src/core/hold_ledger.h
+++ b/src/core/hold_ledger.h
@@ -31,7 +31,6 @@
 // Names a request for as long as anything may be held for it; the same for requests that servers can't tell
 // apart.
 using RequestKey = std::uint64_t;
-using AttemptId = std::uint64_t;
 
 // Why something may be held.
 enum class HoldReason : std::uint8_t {
--- a/src/core/host.h
+++ b/src/core/host.h
@@ -10,9 +10,10 @@
 
 namespace copperfront {
 
-// A query's index may be given to another once it has ended and none of its launches is out.
+// A query's index may be given to another once it has ended and none of its attempts is out.
 using QueryIndex = std::uint32_t;
 using ServerIndex = std::uint32_t;  // stays with a server as long as the gateway runs
+using AttemptId = std::uint64_t;    // never used twice by a gateway; from 1
 using TimerKey = std::uint64_t;
 
 // A reason to end that whoever asked is told apart from all others.
@@ -28,14 +29,14 @@
   public:
     virtual ~Host() = default;
     virtual Instant now() const = 0;
-    virtual void launch(QueryIndex query, ServerIndex server, const AttemptLimits& limits) = 0;
-    virtual void retract(QueryIndex query, std::uint32_t launch) = 0;
+    virtual void start_attempt(QueryIndex query, ServerIndex server, const AttemptLimits& limits) = 0;
+    virtual void retract(QueryIndex query, std::uint32_t attempt) = 0;
     virtual void decline(QueryIndex query, Span stay_away) = 0;
     virtual void give_up(QueryIndex query) = 0;
     virtual void release(QueryIndex query) = 0;
-    // Whether the limits that the query came with leave it one more launch after its last one ended so. Asked
-    // once for each, as a yes may be taken out of a budget.
-    virtual bool may_launch_again(QueryIndex query, Ending after) = 0;
+    // Whether the limits that the query came with leave it one more attempt after its last one ended so.
+    // Asked once for each, as a yes may be taken out of a budget.
+    virtual bool may_attempt_again(QueryIndex query, Ending after) = 0;
     virtual void probe(ServerIndex server) = 0;
     virtual void subscribe() = 0;
     // To all other gateways, where terms allow it; it may be lost.
@@ -50,7 +51,7 @@
                             // reports)
     };
     virtual bool keeps_trace() const { return false; }
-    // The launch that follows goes to this server. `seen`: the best that were compared, of so many in all.
+    // The attempt that follows goes to this server. `seen`: the best that were compared, of so many in all.
     virtual void chose(QueryIndex, ServerIndex, bool /*reading*/, const char* /*why*/,
                        std::span<const Sight> /*seen*/, std::size_t /*of*/) {}
     // Why a query is held, said again each time that it is looked at; and why it ends now.
--- a/src/core/retries.cpp
+++ b/src/core/retries.cpp
@@ -28,7 +28,7 @@
 void Rules::hand_over(QueryIndex i) {
     Query& q = queries_[i];
     if (standing_[q.state_at] == Standing::gone || life_[q.state_at] != q.state_life || is_overdue(q) ||
-        repeat_left(q).us <= 0 || q.launches >= most_launches(q)) {
+        repeat_left(q).us <= 0 || q.attempts >= most_attempts(q)) {
         let_go(i);
         return retry_or_end(i);
     }
@@ -63,7 +63,7 @@
         Query& q = queries_[i];
         if (q.serial != serial || q.stage != Stage::parked) continue;
         ServerIndex s = 0;
-        const bool spent = q.launches >= most_launches(q);
+        const bool spent = q.attempts >= most_attempts(q);
         if (!spent && (now_ - q.parked_since >= terms_.release_within * 0.4 || any_room(q)) &&
             pick_writer(q, s)) {
             send(i, s, false);
@@ -77,19 +77,19 @@
     if (!parked_.empty()) wake_soon(kMs * 20);
 }
 
-// A query may come with tighter limits, and each further launch is taken out of a budget of its own.
-std::uint32_t Rules::most_launches(const Query& q) const {
-    const std::uint32_t own = q.facts.most_launches;
-    return own > 0 ? std::min(own, terms_.max_launches) : terms_.max_launches;
+// A query may come with tighter limits, and each further attempt is taken out of a budget of its own.
+std::uint32_t Rules::most_attempts(const Query& q) const {
+    const std::uint32_t own = q.facts.most_attempts;
+    return own > 0 ? std::min(own, terms_.max_attempts) : terms_.max_attempts;
 }
 
 void Rules::retry_or_end(QueryIndex i) {
     Query& q = queries_[i];
-    // A read without a launch left to hand it over would only be waste.
+    // A read without an attempt left to hand it over would only be waste.
     const char* why = q.may_have_run && repeat_left(q).us <= 0 ? "it may have run"
-                      : q.launches + 2 > most_launches(q)      ? "it has no launch left"
+                      : q.attempts + 2 > most_attempts(q)      ? "it has no launch left"
                       : now_ + terms_.quantum >= q.hard_stop   ? "it has no time left"
-                      : !host_.may_launch_again(i, q.last)     ? "its route has no further launch left"
+                      : !host_.may_attempt_again(i, q.last)    ? "its route has no further launch left"
                                                                : nullptr;
     if (!why) return stand_again(i);
     host_.ends(i, why);
@@ -107,10 +107,10 @@
     over(i);
 }
 
-// No answer lets go of a state, so every end does; what a launch still out brings back is let go then.
+// No answer lets go of a state, so every end does; what an attempt still out brings back is let go then.
 void Rules::over(QueryIndex i) {
     Query& q = queries_[i];
-    if (q.out && terms_.cancel && q.stage != Stage::streaming) host_.retract(i, q.launches - 1);
+    if (q.out && terms_.cancel && q.stage != Stage::streaming) host_.retract(i, q.attempts - 1);
     q.stage = Stage::over;
     let_go(i);
 }
--- a/src/core/rules.cpp
+++ b/src/core/rules.cpp
@@ -135,7 +135,7 @@
     q.sent = now_;
     q.state_life = reading ? life_[s] : q.state_life;
     if (!q.may_have_run) q.ran_since = q.sent, q.ran_zone = zone_[s], q.ran_cell = cell_[s];
-    ++q.launches;
+    ++q.attempts;
     change_waiting(s, 1);
     if (reading) {
         q.read_tokens = q.facts.prompt_tokens - expected_kept(q, texts_of(q), s);
@@ -160,10 +160,10 @@
         mute.since = q.sent;
         mute.until = q.goal;
     }
-    // No shorter limit of ours: in a jam every launch would run into it and its work be asked for again.
+    // No shorter limit of ours: in a jam every attempt would run into it and its work be asked for again.
     const Span own = reading ? q.facts.read_within : q.facts.first_token_within;
     const Span left = q.hard_stop - now_;
-    host_.launch(i, s, {own.us > 0 ? std::min(own, left) : left, repeat_left(q)});
+    host_.start_attempt(i, s, {own.us > 0 ? std::min(own, left) : left, repeat_left(q)});
     watch_on();
 }
 
@@ -174,7 +174,8 @@
     if (shut_for_[s].us > 0) servers_with_room_.invalidate();
 }
 
-// What was counted against the server of the launch that has ended; a process started since knows none of it.
+// What was counted against the server of the attempt that has ended; a process started since knows none of
+// it.
 void Rules::settle_books(Query& q) {
     if (!q.out) return;
     q.out = false;
@@ -216,12 +217,12 @@
     if (f.beginning != 0) beginnings_.keep(f.beginning, {s, life_[s], f.beginning_tokens});
 }
 
-void Rules::launch_ended(QueryIndex i, ServerIndex s, const Outcome& outcome) {
+void Rules::attempt_ended(QueryIndex i, ServerIndex s, const Outcome& outcome) {
     now_ = host_.now();
     Query& q = queries_[i];
     const bool reading = q.stage == Stage::reading;
     const double ahead = std::max(0.0, q.queued_tokens - q.read_tokens);
-    if (!q.out || q.server != s) q.state_life = life_[s];  // a launch that others made
+    if (!q.out || q.server != s) q.state_life = life_[s];  // an attempt that others made
     settle_books(q);
     note_report(s, outcome.report);
 
@@ -283,9 +284,9 @@
             retry_or_end(i);
         } else if (!q.has_state) {
             retry_or_end(i);
-        } else if (!host_.may_launch_again(i, q.last)) {
+        } else if (!host_.may_attempt_again(i, q.last)) {
             end(i, terms_.max_stay_away * 0.25);
-        } else if (e == Ending::full && q.launches < most_launches(q) && !any_room(q)) {
+        } else if (e == Ending::full && q.attempts < most_attempts(q) && !any_room(q)) {
             park(i);
         } else {
             hand_over(i);
--- a/src/core/rules.h
+++ b/src/core/rules.h
@@ -42,7 +42,7 @@
     Span budget;              // until the client stops waiting for this try
     std::int32_t avoid = -1;  // a server that it is not to go to first; -1: none
     // Limits of its own; 0: none but those of the terms.
-    std::uint32_t most_launches = 0;
+    std::uint32_t most_attempts = 0;
     Span read_within, hand_over_within, first_token_within;
 };
 
@@ -57,8 +57,8 @@
     double kept_tokens = 0;
     bool no_state = false;
     bool over = false;  // the query has had its final answer
-    // Broken, on a connection kept from an earlier launch, before anything came back on it: that tells of the
-    // connection, not of the server, and it is likely that the server never saw the launch.
+    // Broken, on a connection kept from an earlier attempt, before anything came back on it: that tells of
+    // the connection, not of the server, and it is likely that the server never saw the attempt.
     bool stale = false;
     // Broken by this gateway's own close, which has yet to reach the server.
     bool closed_here = false;
@@ -74,8 +74,8 @@
     Instant came, goal, hard_stop;
     Instant ask_until;  // asked readers may answer until then
     std::array<ServerIndex, 2> asked{};
-    std::uint32_t launches = 0;
-    ServerIndex server = 0;  // of the launch that is out
+    std::uint32_t attempts = 0;
+    ServerIndex server = 0;  // of the attempt that is out
     std::uint32_t server_life = 0;
     bool out = false;
     bool at_reader = false;
@@ -87,10 +87,10 @@
     double read_tokens = 0, stream_tokens = 0, queued_tokens = 0;
     double part = 0;  // of the traffic that begins like it, as met here
     std::vector<ServerIndex> avoid;
-    Ending last = Ending::read;  // of the launch before
+    Ending last = Ending::read;  // of the attempt before
     bool answer_lost = false;
     bool may_have_run = false;
-    // Of the earliest launch that may have run, or else of the newest one. Not its index, which may name
+    // Of the earliest attempt that may have run, or else of the newest one. Not its index, which may name
     // another server by then.
     std::uint16_t ran_zone = 0;
     std::uint32_t ran_cell = 0;
@@ -129,7 +129,7 @@
     void query_arrived(QueryIndex query, const Arrival& facts);
     void query_left(QueryIndex query);
     void stream_began(QueryIndex query, Span took);
-    void launch_ended(QueryIndex query, ServerIndex server, const Outcome& outcome);
+    void attempt_ended(QueryIndex query, ServerIndex server, const Outcome& outcome);
     // The lease of what is held for a request has ended: it has been released, whatever attempt is out.
     void state_expired(QueryIndex query);
     void probe_answered(ServerIndex server, bool answered, const LoadReport& report);
@@ -222,7 +222,7 @@
     void end(QueryIndex i, Span stay_away);
     void over(QueryIndex i);
     void take_back_unheard(QueryIndex i);
-    std::uint32_t most_launches(const Query& q) const;
+    std::uint32_t most_attempts(const Query& q) const;
     Instant of_use_until(const Query& q) const;
     void serve_lines();
     void serve_line(std::deque<std::pair<QueryIndex, std::uint32_t>>& line, Stage stage);
@@ -308,7 +308,7 @@
     Instant counted_at_;
     std::vector<std::vector<Mute>> mutes_;  // by category
     std::array<std::vector<Instant>, 2>
-        passed_;  // when the latest launch was sent that has been answered: hand-overs, reads
+        passed_;  // when the latest attempt was sent that has been answered: hand-overs, reads
     std::vector<double> share_level_;
     std::vector<Instant> share_filled_;
 };
--- a/src/core/server_health.cpp
+++ b/src/core/server_health.cpp
@@ -9,7 +9,7 @@
 
 namespace copperfront {
 
-// Shut out, a server is tried again by single launches once its time is over; a good one lets it back in.
+// Shut out, a server is tried again by single attempts once its time is over; a good one lets it back in.
 bool Rules::is_open(ServerIndex s) const {
     return may_take(s) && (shut_for_[s].us == 0 || (now_ >= shut_until_[s] && waiting_[s] == 0));
 }
@@ -61,7 +61,8 @@
 }
 
 // Doubt may shut out no more than half of what can be reached of a role, or the rest would drown; what can't
-// be reached, for which one launch is enough, counts on neither side: a dead zone keeps no failing server in.
+// be reached, for which one attempt is enough, counts on neither side: a dead zone keeps no failing server
+// in.
 void Rules::shut_out(ServerIndex s, bool lost) {
     doubt_[s] = kShutDoubt;
     if (!lost && shut_for_[s].us == 0) {
@@ -93,7 +94,7 @@
     if (first_time_.samples < kPaceSamples || now_ - q.sent < usual) return;
     q.called_off = true;
     note_bad(q.server);
-    host_.retract(i, q.launches - 1);
+    host_.retract(i, q.attempts - 1);
 }
 
 void Rules::watch_on() {
@@ -101,10 +102,10 @@
     host_.set_timer(std::max(kWatchEvery, terms_.quantum), kWatchKey);
 }
 
-// Against servers that fall silent. A launch is called off only when for far longer than usual nothing at all
-// has been heard from its server since it was sent, or what was sent there later has been answered: a jammed
-// server goes on answering others, in their turn. One that does may leave this category alone unanswered;
-// what may run only once stays where it is, and warns the next ones.
+// Against servers that fall silent. An attempt is called off only when for far longer than usual nothing at
+// all has been heard from its server since it was sent, or what was sent there later has been answered: a
+// jammed server goes on answering others, in their turn. One that does may leave this category alone
+// unanswered; what may run only once stays where it is, and warns the next ones.
 void Rules::watch() {
     watch_set_ = false;
     bool out = false;
@@ -130,7 +131,7 @@
         if (now_ - q.sent < std::max(kMs * far, (q.goal - q.came) * kSilentGoal)) continue;
         q.called_off = true;
         lives ? unanswered(q.facts.category, s, true) : note_bad(s);
-        if (q.at_reader || (c.effect == Effect::pure && c.stream)) host_.retract(i, q.launches - 1);
+        if (q.at_reader || (c.effect == Effect::pure && c.stream)) host_.retract(i, q.attempts - 1);
     }
     if (out) watch_on();
 }
--- a/src/core/terms.h
+++ b/src/core/terms.h
@@ -47,7 +47,7 @@
     bool reports_memory = false;  // load reports hold the share of memory held
     bool reports_unread = false;  // load reports hold the tokens that wait to be read
     bool reports_by_probe = false;
-    std::uint32_t max_launches = 1;
+    std::uint32_t max_attempts = 1;
     Span max_stay_away;
     double probe_fee = 0;
 
--- a/src/desk/desk.cpp
+++ b/src/desk/desk.cpp
@@ -10,7 +10,7 @@
 Desk::Desk(const Terms& terms, Outside& outside, std::uint32_t seed)
     : kinds_(terms.kinds),
       categories_(terms.categories),
-      max_launches_(terms.max_launches),
+      max_attempts_(terms.max_attempts),
       outside_(outside),
       admission_(terms.gateways, outside.now()),
       share_(terms.gateways),
@@ -28,7 +28,7 @@
     const Turn turn(*this);
     kinds_ = terms.kinds;
     categories_ = terms.categories;
-    max_launches_ = terms.max_launches;
+    max_attempts_ = terms.max_attempts;
     watching_.reset();  // its categories and groups may no longer be those of the desk
     share_.change(terms.gateways);
     guard_.change(terms.release_within);
@@ -114,7 +114,7 @@
     facts.read_within = limits.read;
     facts.hand_over_within = limits.hand_over;
     facts.first_token_within = limits.first_token;
-    if (limits.most_launches < kAnyNumber) facts.most_launches = limits.most_launches;
+    if (limits.most_attempts < kAnyNumber) facts.most_attempts = limits.most_attempts;
     if (limits.whole.us > 0) {
         facts.budget = std::min(facts.budget, limits.whole);
         set_alarm(limits.whole, Ring::whole, query);
@@ -140,7 +140,7 @@
     ++tally_.left;
     end(query, Fate::left, "");
     // The rules never call off a stream that has begun; one that nobody reads ends all the same.
-    if (const auto it = launches_.find(ticket.bound); it != launches_.end() && !it->second.called_off) {
+    if (const auto it = attempts_.find(ticket.bound); it != attempts_.end() && !it->second.called_off) {
         Outcome outcome;
         outcome.ending = Ending::retracted;
         call_off(it->first, outcome, "its client has left");
@@ -205,9 +205,9 @@
                         now.bound == 0 && now.out > 0 && now.copy_after.us > 0 &&
                         outside_.now() - now.came >= now.copy_after;
     if (!of_use) return;
-    const auto slow = launches_.find(now.launches.back());
+    const auto slow = attempts_.find(now.attempts.back());
     const Span left = now.came + now.facts.budget - outside_.now();
-    if (slow == launches_.end() || left.us <= 0 || !admission_.may_copy(now.route, outside_.now())) return;
+    if (slow == attempts_.end() || left.us <= 0 || !admission_.may_copy(now.route, outside_.now())) return;
     Arrival facts = now.facts;
     facts.budget = left;
     facts.avoid = static_cast<std::int32_t>(slow->second.server);
@@ -226,7 +226,7 @@
     second.silence = first.silence;
     second.whole = first.whole;
     second.connect = first.connect;
-    // Its launches are none of the first ones that budgets are a share of.
+    // Its attempts are none of the first ones that budgets are a share of.
     second.read_begun = second.write_begun = true;
     for (int cause = 0; cause < kCauses; ++cause) second.most_after[cause] = first.most_after[cause];
     ++tally_.copies;
@@ -253,7 +253,7 @@
     for (const QueryIndex query : ended_) {
         Ticket& ticket = tickets_[query];
         if (!ticket.used) continue;
-        // What was asked is named by a second copy's launches as well.
+        // What was asked is named by a second copy's attempts as well.
         const bool named = !ticket.copy && ticket.pair != kNobody && tickets_[ticket.pair].used &&
                            tickets_[ticket.pair].copy && tickets_[ticket.pair].pair == query;
         if (ticket.out > 0 || named) {
--- a/src/desk/desk.h
+++ b/src/desk/desk.h
@@ -1,5 +1,5 @@
-// Carries out what the rules decide and keeps the books for it: which launches of a query are out, where its
-// states may lie, which launch has begun its stream, and what rings when. It stands between the decision
+// Carries out what the rules decide and keeps the books for it: which attempts of a query are out, where its
+// states may lie, which attempt has begun its stream, and what rings when. It stands between the decision
 // module and whatever moves the bytes (sockets, or a test), decides nothing of its own, and is free of I/O
 // and clocks.
 //
@@ -24,7 +24,7 @@
 
 namespace copperfront {
 
-// A LaunchId is never used twice by one desk; from 1.
+// An AttemptId is never used twice by one desk; from 1.
 
 // What the desk may do to the world. None of these may call back into the desk.
 class Outside {
@@ -33,19 +33,19 @@
     virtual Instant now() const = 0;
     // Desk::time_came is wanted at this time or soon after; a later call replaces the wish.
     virtual void wake_at(Instant at) = 0;
-    // The state of a read is named by its launch. `limit` is for the engine to drop what nobody waits for.
-    virtual void send_read(LaunchId launch, ServerIndex to, QueryIndex query, Span limit) = 0;
+    // The state of a read is named by its attempt. `limit` is for the engine to drop what nobody waits for.
+    virtual void send_read(AttemptId attempt, ServerIndex to, QueryIndex query, Span limit) = 0;
     // `state` 0: there is none, and the engine reads the prompt itself; else it lies at `from`.
-    virtual void send_write(LaunchId launch, ServerIndex to, QueryIndex query, LaunchId state,
+    virtual void send_write(AttemptId attempt, ServerIndex to, QueryIndex query, AttemptId state,
                             ServerIndex from, Span limit) = 0;
-    virtual void call_off(LaunchId launch, ServerIndex at) = 0;
-    // Takes back a launch that waits for its connection: true, and it was never sent; false: it may have
+    virtual void call_off(AttemptId attempt, ServerIndex at) = 0;
+    // Takes back an attempt that waits for its connection: true, and it was never sent; false: it may have
     // been.
-    virtual bool unsend(LaunchId launch, ServerIndex at) = 0;
+    virtual bool unsend(AttemptId attempt, ServerIndex at) = 0;
     // Whether releases are answered by servers, and told to the ledger. Otherwise messages arrive in order,
     // and a release that was sent is as good as done.
     virtual bool releases_are_answered() const { return false; }
-    virtual void release(ServerIndex at, LaunchId state) = 0;
+    virtual void release(ServerIndex at, AttemptId state) = 0;
     virtual void probe(ServerIndex server) = 0;
     virtual void subscribe() = 0;
     // To all other gateways, where terms allow it.
@@ -64,7 +64,7 @@
     std::uint64_t came = 0, left = 0, settled = 0, declined = 0, given_up = 0, streams_broken = 0,
                   streams_silent = 0, leases_ended = 0;
     std::uint64_t reads = 0, writes = 0, called_off = 0, releases = 0, probes = 0;
-    // Declined by a route's limits; launches that they did not leave; launches taken back unsent.
+    // Declined by a route's limits; attempts that they did not leave; attempts taken back unsent.
     std::uint64_t over_limit = 0, not_again = 0, not_connected = 0, copies = 0, copies_won = 0;
     std::uint64_t endings[9] = {};  // by Ending
 };
@@ -106,34 +106,34 @@
     void list_arrived(std::span<const Listing> entries, bool whole);
     void list_missed();
 
-    // A token of a launch's answer. True: it belongs to the stream of `query`; false: nobody's.
-    bool token_came(LaunchId launch, QueryIndex& query);
-    // How a launch has ended, once for each; of a launch that is over already, it is ignored. Fields of the
-    // outcome that the desk knows (took, over) are filled in here.
-    void launch_ended(LaunchId launch, Outcome outcome);
+    // A token of an attempt's answer. True: it belongs to the stream of `query`; false: nobody's.
+    bool token_came(AttemptId attempt, QueryIndex& query);
+    // How an attempt has ended, once for each; of an attempt that is over already, it is ignored. Fields of
+    // the outcome that the desk knows (took, over) are filled in here.
+    void attempt_ended(AttemptId attempt, Outcome outcome);
     void probe_answered(ServerIndex server, bool answered, const LoadReport& report);
     void peer_told(std::string_view note);
     void time_came();
     // Every open query that has not begun is given up now, for a stop that has taken too long.
     void give_up_all(std::string_view why);
 
-    // Whether a launch that waits for its connection may still be sent now. Asked right before its first
+    // Whether an attempt that waits for its connection may still be sent now. Asked right before its first
     // byte.
-    Denial may_be_written(LaunchId launch, bool client_gone, Span told);
+    Denial may_be_written(AttemptId attempt, bool client_gone, Span told);
     SendGuard& guard() { return guard_; }
     const SendGuard& guard() const { return guard_; }
     HoldLedger& ledger() { return ledger_; }
     const HoldLedger& ledger() const { return ledger_; }
-    // A part of a launch's answer has come, which need not be a token.
-    void answer_began(LaunchId launch);
+    // A part of an attempt's answer has come, which need not be a token.
+    void answer_began(AttemptId attempt);
 
     std::size_t open_queries() const { return open_; }
-    std::size_t launches_out() const { return launches_.size(); }
+    std::size_t attempts_out() const { return attempts_.size(); }
     Rules::Waiting waiting() const { return rules_.waiting(); }
     const Tally& tally() const { return tally_; }
     const Admission& admission() const { return admission_; }
-    // Whether a launch with this id was ever made here.
-    bool was_made(LaunchId launch) const { return launch > 0 && launch < next_launch_; }
+    // Whether an attempt with this id was ever made here.
+    bool was_made(AttemptId attempt) const { return attempt > 0 && attempt < next_attempt_; }
 
   private:
     static constexpr QueryIndex kNobody = ~QueryIndex{0};
@@ -141,7 +141,7 @@
         RequestKey key = 0;  // in the ledger
         bool used = false, ended = false, streams = true, held = false;
         Span silence;                                  // the longest that its stream may say nothing
-        bool read_begun = false, write_begun = false;  // its first launches were made
+        bool read_begun = false, write_begun = false;  // its first attempts were made
         // A second copy is a query of its own to the rules, under an index that nobody outside sees; `pair`
         // is the other of the two. `done`: the rules are through with it, while its pair may still be
         // answered.
@@ -156,20 +156,20 @@
         Instant came, deadline;
         std::uint32_t after[kCauses] = {}, most_after[kCauses] = {};
         std::uint32_t made = 0, out = 0;
-        LaunchId bound = 0;  // the launch whose stream the caller gets
-        LaunchId state = 0;  // the state that the next write takes; 0: none
+        AttemptId bound = 0;  // the attempt whose stream the caller gets
+        AttemptId state = 0;  // the state that the next write takes; 0: none
         ServerIndex state_at = 0;
-        Account account;                 // kept where a trace is
-        const char* why = nullptr;       // that the rules gave last
-        std::vector<LaunchId> launches;  // by launch number
+        Account account;                  // kept where a trace is
+        const char* why = nullptr;        // that the rules gave last
+        std::vector<AttemptId> attempts;  // by attempt number
     };
-    struct Launch {
+    struct Attempt {
         QueryIndex query = 0;
         ServerIndex server = 0;
         Instant sent, heard;
-        Instant write_by;    // not sent any more after that
-        LaunchId state = 0;  // write: the state it takes
-        double tokens = 0;   // write: of memory that it holds there
+        Instant write_by;     // not sent any more after that
+        AttemptId state = 0;  // write: the state it takes
+        double tokens = 0;    // write: of memory that it holds there
         bool reading = false, begun = false, called_off = false;
         bool unsent = false;  // it never left, and its end is on its way to the rules
         Outcome pending;      // of one that was called off: told once its close has reached the server
@@ -188,12 +188,12 @@
     class Turn;
 
     Instant now() const override { return outside_.now(); }
-    void launch(QueryIndex query, ServerIndex server, const AttemptLimits& limits) override;
+    void start_attempt(QueryIndex query, ServerIndex server, const AttemptLimits& limits) override;
     void retract(QueryIndex query, std::uint32_t number) override;
     void decline(QueryIndex query, Span stay_away) override;
     void give_up(QueryIndex query) override;
     void release(QueryIndex query) override;
-    bool may_launch_again(QueryIndex query, Ending after) override;
+    bool may_attempt_again(QueryIndex query, Ending after) override;
     void probe(ServerIndex server) override;
     void subscribe() override { outside_.subscribe(); }
     void tell_peers(std::string_view note) override { outside_.tell_peers(note); }
@@ -211,16 +211,16 @@
     }
 
     void set_alarm(Span from_now, Ring ring, std::uint64_t key);
-    void finish(LaunchId launch, Outcome outcome, std::string_view why = "");
-    void call_off(LaunchId launch, const Outcome& outcome, const char* why);
-    void over_once_closed(Launch& mine, LaunchId launch, const Outcome& outcome, const char* why);
+    void finish(AttemptId attempt, Outcome outcome, std::string_view why = "");
+    void call_off(AttemptId attempt, const Outcome& outcome, const char* why);
+    void over_once_closed(Attempt& mine, AttemptId attempt, const Outcome& outcome, const char* why);
     void set_lease_alarm(QueryIndex query);
     void lease_ends(QueryIndex query);
     void ring(const Alarm& alarm);
     void ring_whole(QueryIndex query);
-    void ring_launch(const Alarm& alarm);
-    void stream_may_be_silent(LaunchId launch);
-    void release_held(QueryIndex query, LaunchId except);
+    void attempt_alarm_due(const Alarm& alarm);
+    void stream_may_be_silent(AttemptId attempt);
+    void release_held(QueryIndex query, AttemptId except);
     void end(QueryIndex query, Fate fate, std::string_view why);
     QueryIndex face(QueryIndex query) const { return tickets_[query].copy ? tickets_[query].pair : query; }
     QueryIndex live_pair(QueryIndex query) const;
@@ -234,15 +234,15 @@
 
     std::vector<Kind> kinds_;
     std::vector<Category> categories_;
-    std::uint32_t max_launches_;
+    std::uint32_t max_attempts_;
     Outside& outside_;
     std::vector<Role> role_;                   // by server
     std::vector<double> memory_, own_tokens_;  // by server: what it has, and what our writes hold of it
     std::vector<Ticket> tickets_;
     std::vector<QueryIndex> free_, ended_;
-    std::unordered_map<LaunchId, Launch> launches_;
-    LaunchId next_launch_ = 1;
-    std::deque<std::pair<LaunchId, Outcome>> posted_;
+    std::unordered_map<AttemptId, Attempt> attempts_;
+    AttemptId next_attempt_ = 1;
+    std::deque<std::pair<AttemptId, Outcome>> posted_;
     std::priority_queue<Alarm, std::vector<Alarm>, std::greater<>> alarms_;
     std::uint64_t next_order_ = 0;
     Instant wished_;
--- a/src/desk/desk_alarms.cpp
+++ b/src/desk/desk_alarms.cpp
@@ -47,7 +47,7 @@
         case Ring::connect:
         case Ring::called_off:
         case Ring::stream:
-            return ring_launch(alarm);
+            return attempt_alarm_due(alarm);
     }
 }
 
@@ -57,47 +57,47 @@
     if (!ticket.used || ticket.ended || ticket.bound == 0 || ticket.whole.us <= 0 ||
         outside_.now() - ticket.came < ticket.whole)
         return;
-    const auto it = launches_.find(ticket.bound);
-    if (it == launches_.end()) return;
+    const auto it = attempts_.find(ticket.bound);
+    if (it == attempts_.end()) return;
     outside_.call_off(it->first, it->second.server);
     Outcome outcome;
     outcome.ending = Ending::broken;
     finish(it->first, outcome, "all of it took longer than its route allows");
 }
 
-void Desk::ring_launch(const Alarm& alarm) {
-    const LaunchId launch = alarm.key;
-    const auto it = launches_.find(launch);
-    if (it == launches_.end()) return;
+void Desk::attempt_alarm_due(const Alarm& alarm) {
+    const AttemptId attempt = alarm.key;
+    const auto it = attempts_.find(attempt);
+    if (it == attempts_.end()) return;
     if (alarm.ring == Ring::called_off) {
         const Outcome outcome = it->second.pending;
-        return finish(launch, outcome, it->second.why);
+        return finish(attempt, outcome, it->second.why);
     }
     if (it->second.called_off) return;
-    if (alarm.ring == Ring::stream) return stream_may_be_silent(launch);
+    if (alarm.ring == Ring::stream) return stream_may_be_silent(attempt);
     if (it->second.begun) return;
     Outcome outcome;
     if (alarm.ring == Ring::connect) {
         // Never sent, so it cannot have run: any category may go again, and at once.
-        if (!outside_.unsend(launch, it->second.server)) return;
+        if (!outside_.unsend(attempt, it->second.server)) return;
         ++tally_.not_connected;
         outcome.ending = Ending::unreachable;
-        return finish(launch, outcome, "its connection was not made in time");
+        return finish(attempt, outcome, "its connection was not made in time");
     }
     outcome.ending = Ending::late;
-    call_off(launch, outcome, "its time limit has passed");
+    call_off(attempt, outcome, "its time limit has passed");
 }
 
 // Against an answer whose end is lost in silence: its caller would wait for ever.
-void Desk::stream_may_be_silent(LaunchId launch) {
-    const Launch& mine = launches_.at(launch);
+void Desk::stream_may_be_silent(AttemptId attempt) {
+    const Attempt& mine = attempts_.at(attempt);
     const Span left = mine.heard + tickets_[mine.query].silence - outside_.now();
-    if (left.us > 0) return set_alarm(left, Ring::stream, launch);
+    if (left.us > 0) return set_alarm(left, Ring::stream, attempt);
     ++tally_.streams_silent;
-    outside_.call_off(launch, mine.server);
+    outside_.call_off(attempt, mine.server);
     Outcome outcome;
     outcome.ending = Ending::broken;
-    finish(launch, outcome, "its stream fell silent");
+    finish(attempt, outcome, "its stream fell silent");
 }
 
 }  // namespace copperfront
--- a/src/desk/desk_attempts.cpp
+++ b/src/desk/desk_attempts.cpp
@@ -9,7 +9,7 @@
 
 void Desk::chose(QueryIndex, ServerIndex, bool, const char* why, std::span<const Sight> seen,
                  std::size_t of) {
-    // The launch follows within the same call, so this is what it is told with.
+    // The attempt follows within the same call, so this is what it is told with.
     seen_.assign(seen.begin(), seen.end());
     choice_ = {why, seen_, of};
 }
@@ -22,18 +22,18 @@
     witness_->held(face(query), why);
 }
 
-void Desk::launch(QueryIndex query, ServerIndex server, const AttemptLimits& limits) {
+void Desk::start_attempt(QueryIndex query, ServerIndex server, const AttemptLimits& limits) {
     const Span limit = limits.answer;
     Ticket& ticket = tickets_[query];
-    const LaunchId id = next_launch_++;
-    Launch made;
+    const AttemptId id = next_attempt_++;
+    Attempt made;
     made.query = query;
     made.server = server;
     made.sent = outside_.now();
     made.write_by = made.sent + limits.write;
     made.reading = server < role_.size() && role_[server] == Role::reader;
     ++ticket.made;
-    ticket.launches.push_back(id);
+    ticket.attempts.push_back(id);
     const QueryIndex asked = face(query);
     SendGuard::AttemptStart facts;
     facts.answered = ticket.ended || ticket.done || tickets_[asked].ended || tickets_[asked].bound != 0;
@@ -41,7 +41,7 @@
     facts.may_have_run = ticket.may_have_run;
     facts.effect = ticket.effect;
     facts.made = ticket.made;
-    facts.most = max_launches_;
+    facts.most = max_attempts_;
     facts.left = limit;
     const Denial denial = guard_.may_start(facts);
     ++ticket.out;
@@ -53,21 +53,21 @@
         }
         if (ticket.held) admission_.held(ticket.route, -1);
         ticket.held = false;
-        // The first launch of each stage; what follows was asked for in may_launch_again.
+        // The first attempt of each stage; what follows was asked for in may_attempt_again.
         bool& begun = made.reading ? ticket.read_begun : ticket.write_begun;
-        if (!begun) admission_.launched_first(ticket.route, outside_.now());
+        if (!begun) admission_.first_attempt_started(ticket.route, outside_.now());
         begun = true;
-        launches_.emplace(id, made);
+        attempts_.emplace(id, made);
         ledger_.attempt_started(ticket.key, id, server, made.reading, outside_.now());
-        if (watching_ && !ticket.copy) watching_->launched(query, server, made.reading);
+        if (watching_ && !ticket.copy) watching_->started(query, server, made.reading);
         set_alarm(limit, Ring::limit, id);
         if (witness_) {
             Account& account = tickets_[asked].account;
-            if (account.reads + account.writes == 0) account.first_launch = outside_.now();
+            if (account.reads + account.writes == 0) account.first_attempt = outside_.now();
             ++(made.reading ? account.reads : account.writes);
             (made.reading ? account.reader : account.writer) = server;
             if (made.reading || made.state == 0) account.read_tokens += ticket.prompt_tokens;
-            witness_->launched(asked, id, server, made.reading, limit, choice_);
+            witness_->started(asked, id, server, made.reading, limit, choice_);
         }
         const Span connect = ticket.connect.us > 0 ? std::min(ticket.connect, limits.write) : limits.write;
         if (connect < limit) set_alarm(connect, Ring::connect, id);
@@ -83,16 +83,16 @@
     Outcome outcome;
     outcome.ending = denial == Denial::no_time_left ? Ending::late : Ending::unsent;
     made.unsent = true;
-    launches_.emplace(id, made);
+    attempts_.emplace(id, made);
     posted_.emplace_back(id, outcome);
 }
 
-Denial Desk::may_be_written(LaunchId launch, bool client_gone, Span told) {
-    const auto it = launches_.find(launch);
+Denial Desk::may_be_written(AttemptId attempt, bool client_gone, Span told) {
+    const auto it = attempts_.find(attempt);
     SendGuard::AttemptWrite facts;
     facts.client_gone = client_gone;
     facts.now = outside_.now();
-    if (it != launches_.end()) {
+    if (it != attempts_.end()) {
         const Ticket& ticket = tickets_[it->second.query];
         facts.write_by = it->second.write_by;
         facts.effect = ticket.effect;
@@ -104,30 +104,30 @@
 
 // It is over, with this outcome, only once its close has reached its server: an attempt elsewhere before that
 // would be a second copy of it.
-void Desk::call_off(LaunchId launch, const Outcome& outcome, const char* why) {
-    Launch& mine = launches_.at(launch);
-    outside_.call_off(launch, mine.server);
-    over_once_closed(mine, launch, outcome, why);
+void Desk::call_off(AttemptId attempt, const Outcome& outcome, const char* why) {
+    Attempt& mine = attempts_.at(attempt);
+    outside_.call_off(attempt, mine.server);
+    over_once_closed(mine, attempt, outcome, why);
 }
 
-void Desk::over_once_closed(Launch& mine, LaunchId launch, const Outcome& outcome, const char* why) {
+void Desk::over_once_closed(Attempt& mine, AttemptId attempt, const Outcome& outcome, const char* why) {
     mine.called_off = true;
     const Ticket& ticket = tickets_[mine.query];
     // No other attempt of it follows.
     if (ticket.ended || ticket.done) {
-        posted_.emplace_back(launch, outcome);
+        posted_.emplace_back(attempt, outcome);
         return;
     }
     mine.pending = outcome;
     mine.why = why;
-    set_alarm(SendGuard::close_travel_time(), Ring::called_off, launch);
+    set_alarm(SendGuard::close_travel_time(), Ring::called_off, attempt);
 }
 
 void Desk::retract(QueryIndex query, std::uint32_t number) {
     Ticket& ticket = tickets_[query];
-    if (number >= ticket.launches.size()) return;
-    const auto it = launches_.find(ticket.launches[number]);
-    if (it == launches_.end() || it->second.begun || it->second.called_off || it->second.unsent) return;
+    if (number >= ticket.attempts.size()) return;
+    const auto it = attempts_.find(ticket.attempts[number]);
+    if (it == attempts_.end() || it->second.begun || it->second.called_off || it->second.unsent) return;
     ++tally_.called_off;
     Outcome outcome;
     outcome.ending = Ending::retracted;
@@ -139,14 +139,14 @@
     posted_.emplace_back(it->first, outcome);
 }
 
-// A state that no launch waits for is let go wherever it may lie. A read whose answer never came may have
+// A state that no attempt waits for is let go wherever it may lie. A read whose answer never came may have
 // left one too, so its reader is told as well.
 void Desk::release(QueryIndex query) {
     Ticket& ticket = tickets_[query];
-    LaunchId awaited = 0;
-    for (const LaunchId id : ticket.launches) {
-        const auto it = launches_.find(id);
-        if (it != launches_.end() && !it->second.called_off && it->second.state != 0)
+    AttemptId awaited = 0;
+    for (const AttemptId id : ticket.attempts) {
+        const auto it = attempts_.find(id);
+        if (it != attempts_.end() && !it->second.called_off && it->second.state != 0)
             awaited = it->second.state;
     }
     release_held(query, awaited);
@@ -155,7 +155,7 @@
 
 // All that may be held for it but what the prefill `except` has left. What was told before is not told again:
 // the ledger knows whether it is still owed.
-void Desk::release_held(QueryIndex query, LaunchId except) {
+void Desk::release_held(QueryIndex query, AttemptId except) {
     const RequestKey key = tickets_[query].key;
     const std::vector<HoldLedger::Entry> entries = ledger_.entries(key);
     for (const HoldLedger::Entry& entry : entries) {
@@ -193,14 +193,15 @@
     if (!ticket.ended && !ticket.done) rules_.state_expired(query);
 }
 
-bool Desk::may_launch_again(QueryIndex query, Ending after) {
+bool Desk::may_attempt_again(QueryIndex query, Ending after) {
     Ticket& ticket = tickets_[query];
     const Cause cause = after == Ending::unreachable                          ? Cause::unreachable
                         : after == Ending::full                               ? Cause::full
                         : after == Ending::late || after == Ending::retracted ? Cause::silent
                                                                               : Cause::failed;
     const auto c = static_cast<std::size_t>(cause);
-    if (ticket.after[c] < ticket.most_after[c] && admission_.may_launch_again(ticket.route, outside_.now())) {
+    if (ticket.after[c] < ticket.most_after[c] &&
+        admission_.may_attempt_again(ticket.route, outside_.now())) {
         ++ticket.after[c];
         return true;
     }
@@ -208,10 +209,10 @@
     return false;
 }
 
-bool Desk::token_came(LaunchId launch, QueryIndex& query) {
-    const auto it = launches_.find(launch);
-    if (it == launches_.end() || it->second.called_off || it->second.reading) return false;
-    Launch& l = it->second;
+bool Desk::token_came(AttemptId attempt, QueryIndex& query) {
+    const auto it = attempts_.find(attempt);
+    if (it == attempts_.end() || it->second.called_off || it->second.reading) return false;
+    Attempt& l = it->second;
     Ticket& ticket = tickets_[l.query];
     query = face(l.query);
     if (l.server < own_tokens_.size()) {
@@ -222,7 +223,7 @@
         l.heard = outside_.now();
         admission_.tokens_came(ticket.route, 1, l.heard);
         if (witness_) tickets_[query].account.tokens += 1;
-        return tickets_[query].bound == launch && !tickets_[query].ended;
+        return tickets_[query].bound == attempt && !tickets_[query].ended;
     }
     if (ticket.done || tickets_[query].ended || tickets_[query].bound != 0 || !ticket.streams) return false;
     const Turn turn(*this);
@@ -231,14 +232,14 @@
     if (witness_) {
         tickets_[query].account.first_token = outside_.now() - tickets_[query].came;
         tickets_[query].account.tokens += 1;
-        witness_->first_token(query, launch, l.server, outside_.now() - l.sent);
+        witness_->first_token(query, attempt, l.server, outside_.now() - l.sent);
     }
-    tickets_[query].bound = launch;
-    set_alarm(ticket.silence, Ring::stream, launch);
+    tickets_[query].bound = attempt;
+    set_alarm(ticket.silence, Ring::stream, attempt);
     // With the first token the state has been fetched; whatever else lies about for this query goes now.
     ledger_.assume_released(ticket.key, l.state);
     release_held(l.query, 0);
-    ledger_.stream_began(ticket.key, launch, outside_.now());
+    ledger_.stream_began(ticket.key, attempt, outside_.now());
     ticket.state = 0;
     admission_.began(ticket.route, outside_.now() - ticket.came, outside_.now());
     admission_.tokens_came(ticket.route, 1, outside_.now());
@@ -249,27 +250,27 @@
     return true;
 }
 
-void Desk::answer_began(LaunchId launch) {
-    const auto it = launches_.find(launch);
-    if (it == launches_.end() || it->second.called_off) return;
-    ledger_.answer_began(tickets_[it->second.query].key, launch, outside_.now());
+void Desk::answer_began(AttemptId attempt) {
+    const auto it = attempts_.find(attempt);
+    if (it == attempts_.end() || it->second.called_off) return;
+    ledger_.answer_began(tickets_[it->second.query].key, attempt, outside_.now());
 }
 
-void Desk::launch_ended(LaunchId launch, Outcome outcome) {
-    const auto it = launches_.find(launch);
-    if (it == launches_.end() || it->second.called_off) return;
+void Desk::attempt_ended(AttemptId attempt, Outcome outcome) {
+    const auto it = attempts_.find(attempt);
+    if (it == attempts_.end() || it->second.called_off) return;
     const Turn turn(*this);
-    Launch& mine = it->second;
+    Attempt& mine = it->second;
     if (outcome.closed_here && !mine.begun)
-        return over_once_closed(mine, launch, outcome, "its answer was spoilt");
-    finish(launch, outcome);
+        return over_once_closed(mine, attempt, outcome, "its answer was spoilt");
+    finish(attempt, outcome);
 }
 
-void Desk::finish(LaunchId id, Outcome outcome, std::string_view why) {
-    const auto it = launches_.find(id);
-    if (it == launches_.end()) return;
-    const Launch l = it->second;
-    launches_.erase(it);
+void Desk::finish(AttemptId id, Outcome outcome, std::string_view why) {
+    const auto it = attempts_.find(id);
+    if (it == attempts_.end()) return;
+    const Attempt l = it->second;
+    attempts_.erase(it);
     if (l.server < own_tokens_.size())
         own_tokens_[l.server] = std::max(0.0, own_tokens_[l.server] - l.tokens);
     note_report(l.server, outcome.report);
@@ -281,7 +282,7 @@
         outcome.ending = Ending::unreachable;
     }
     const QueryIndex asked = face(l.query);
-    if (witness_) witness_->launch_over(asked, id, l.server, outcome.ending, outcome.took, why);
+    if (witness_) witness_->attempt_over(asked, id, l.server, outcome.ending, outcome.took, why);
     outcome.over = ticket.ended || ticket.done;
     const Ending e = outcome.ending;
     const bool never_there = e == Ending::unsent || e == Ending::unreachable || e == Ending::full;
@@ -297,7 +298,7 @@
         ticket.state_at = l.server;
     }
     if (e == Ending::settled && l.state == ticket.state) ticket.state = 0;
-    const LaunchId bound = tickets_[asked].bound;
+    const AttemptId bound = tickets_[asked].bound;
     if (!tickets_[asked].ended && !ticket.done) {
         if (e == Ending::settled && (bound == 0 || bound == id)) {
             set_down(l.query);
@@ -315,8 +316,8 @@
             outside_.given_up(asked, "the stream broke");
         }
     }
-    if (watching_ && !ticket.copy) watching_->launch_ended(l.query, l.server, outcome);
-    rules_.launch_ended(l.query, l.server, outcome);
+    if (watching_ && !ticket.copy) watching_->attempt_ended(l.query, l.server, outcome);
+    rules_.attempt_ended(l.query, l.server, outcome);
     // Settled without a first token to tell of it: the other one is of no more use.
     if (e == Ending::settled && outcome.over) call_off_pair(l.query);
 }
--- a/src/desk/witness.h
+++ b/src/desk/witness.h
@@ -12,8 +12,6 @@
 
 namespace copperfront {
 
-using LaunchId = std::uint64_t;
-
 enum class Fate : std::uint8_t { settled, declined, given_up, left, over_limit };
 
 // What a choice saw, as the rules told it. Empty: it was not told.
@@ -25,8 +23,8 @@
 
 // What a query came to, its second copy with it.
 struct Account {
-    Instant came, first_launch;  // first_launch before came: there was none
-    Span first_token{-1};        // since it came; -1: none
+    Instant came, first_attempt;  // first_attempt before came: there was none
+    Span first_token{-1};         // since it came; -1: none
     std::uint32_t reads = 0, writes = 0, copies = 0;
     double read_tokens = 0, tokens = 0;
     ServerIndex reader = 0, writer = 0;  // the last, where there were any
@@ -37,14 +35,14 @@
     virtual ~Witness() = default;
     // Once for each reason in a row.
     virtual void held(QueryIndex query, std::string_view why) = 0;
-    virtual void launched(QueryIndex query, LaunchId launch, ServerIndex server, bool reading, Span limit,
-                          const Choice& choice) = 0;
-    virtual void launch_over(QueryIndex query, LaunchId launch, ServerIndex server, Ending ending, Span took,
-                             std::string_view why) = 0;
-    virtual void first_token(QueryIndex query, LaunchId launch, ServerIndex server, Span took) = 0;
+    virtual void started(QueryIndex query, AttemptId attempt, ServerIndex server, bool reading, Span limit,
+                         const Choice& choice) = 0;
+    virtual void attempt_over(QueryIndex query, AttemptId attempt, ServerIndex server, Ending ending,
+                              Span took, std::string_view why) = 0;
+    virtual void first_token(QueryIndex query, AttemptId attempt, ServerIndex server, Span took) = 0;
     virtual void copied(QueryIndex query, ServerIndex slow) = 0;
-    virtual void released(QueryIndex query, ServerIndex server, LaunchId state) = 0;
-    // Its final answer, or that it left. Launches may still be over after it.
+    virtual void released(QueryIndex query, ServerIndex server, AttemptId state) = 0;
+    // Its final answer, or that it left. Attempts may still be over after it.
     virtual void ended(QueryIndex query, Fate fate, std::string_view why, const Account& account) = 0;
     virtual void shut(ServerIndex server, bool out) = 0;
 };
--- a/src/gateway/engines.cpp
+++ b/src/gateway/engines.cpp
@@ -38,17 +38,17 @@
     }
 
     bool open() const { return state_ == State::open; }
-    std::size_t load() const { return launches_.size(); }
+    std::size_t load() const { return attempts_.size(); }
 
-    void forget(LaunchId launch) {
-        launches_.erase(launch);
+    void forget(AttemptId attempt) {
+        attempts_.erase(attempt);
         used_ = pool_.loop_.now();
     }
-    // Launches still waiting to be sent can be called off without a word.
-    bool unsend(LaunchId launch) {
+    // Attempts still waiting to be sent can be called off without a word.
+    bool unsend(AttemptId attempt) {
         if (open()) return false;
         const auto it =
-            std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& w) { return w.first == launch; });
+            std::find_if(waiting_.begin(), waiting_.end(), [&](const auto& w) { return w.first == attempt; });
         if (it == waiting_.end()) return false;
         waiting_.erase(it);
         return true;
@@ -59,15 +59,15 @@
         else
             waiting_.emplace_back(0, std::move(line));
     }
-    void queue(LaunchId launch, std::string line) {
-        launches_.insert(launch);
+    void queue(AttemptId attempt, std::string line) {
+        attempts_.insert(attempt);
         used_ = pool_.loop_.now();
         if (open()) {
             // What was silent because nothing was asked of it is not silent yet.
-            if (launches_.size() == 1) heard_ = used_;
+            if (attempts_.size() == 1) heard_ = used_;
             link_->send(line);
         } else {
-            waiting_.emplace_back(launch, std::move(line));
+            waiting_.emplace_back(attempt, std::move(line));
         }
     }
     void probe(std::int64_t number) {
@@ -84,9 +84,9 @@
     void line_came(Link&, std::string_view line) override;
     void link_closed(Link&, Closing why, const std::string& what) override { pool_.drop(*this, why, what); }
 
-    // Every launch on it, in the order in which they were made.
-    std::vector<LaunchId> launches() const {
-        std::vector<LaunchId> all(launches_.begin(), launches_.end());
+    // Every attempt on it, in the order in which they were made.
+    std::vector<AttemptId> attempts() const {
+        std::vector<AttemptId> all(attempts_.begin(), attempts_.end());
         std::sort(all.begin(), all.end());
         return all;
     }
@@ -102,7 +102,7 @@
     void look() {
         const Instant now = pool_.loop_.now();
         const Bounds& b = pool_.bounds_;
-        if (launches_.empty() && probes_.empty()) {
+        if (attempts_.empty() && probes_.empty()) {
             if (now - used_ >= b.idle_link) return pool_.drop(*this, Closing::peer_ended, "idle");
         } else if (now - heard_ >= b.engine_silence) {
             return pool_.drop(*this, Closing::broken, "silent with launches out");
@@ -125,17 +125,17 @@
     State state_ = State::dialing;
     Timer patience_, watch_;
     Instant heard_, used_;
-    std::unordered_set<LaunchId> launches_;
+    std::unordered_set<AttemptId> attempts_;
     std::unordered_set<std::int64_t> probes_;
-    std::deque<std::pair<LaunchId, std::string>> waiting_;
+    std::deque<std::pair<AttemptId, std::string>> waiting_;
     std::size_t bad_ = 0;
 };
 
 void Engines::Line::line_came(Link&, std::string_view line) {
     heard_ = pool_.loop_.now();
     if (const auto tokens = rpc::plain_tokens(line)) {
-        const auto launch = static_cast<LaunchId>(tokens->id);
-        if (launches_.count(launch)) pool_.owner_.token_came(launch, tokens->text);
+        const auto attempt = static_cast<AttemptId>(tokens->id);
+        if (attempts_.count(attempt)) pool_.owner_.token_came(attempt, tokens->text);
         return;
     }
     auto parsed = rpc::parse(line);
@@ -153,8 +153,8 @@
             bad("tokens: expected requestId, a number, and text");
             return;
         }
-        const auto launch = id->get<LaunchId>();
-        if (launches_.count(launch)) pool_.owner_.token_came(launch, text->get_ref<const std::string&>());
+        const auto attempt = id->get<AttemptId>();
+        if (attempts_.count(attempt)) pool_.owner_.token_came(attempt, text->get_ref<const std::string&>());
         return;
     }
     if (m.sort == rpc::Sort::call) {
@@ -196,19 +196,19 @@
         return;
     }
     const auto number = std::get<std::int64_t>(m.id);
-    const auto launch = static_cast<LaunchId>(number);
-    if (number <= 0 || !launches_.count(launch)) {
-        // A launch that was called off may have been answered just before; anything else nobody asked for.
-        if (number <= 0 || launch > pool_.last_) bad("an answer to no launch: " + std::to_string(number));
+    const auto attempt = static_cast<AttemptId>(number);
+    if (number <= 0 || !attempts_.count(attempt)) {
+        // An attempt that was called off may have been answered just before; anything else nobody asked for.
+        if (number <= 0 || attempt > pool_.last_) bad("an answer to no launch: " + std::to_string(number));
         return;
     }
-    const auto out = pool_.out_.find(launch);
+    const auto out = pool_.out_.find(attempt);
     const bool reading = out->second.reading;
     pool_.out_.erase(out);
-    launches_.erase(launch);
+    attempts_.erase(attempt);
     used_ = heard_;
-    pool_.owner_.launch_over(launch, rpc::read_outcome(m, reading), rpc::number_at(m.body, "tokens"),
-                             rpc::text_at(m.body, "text"));
+    pool_.owner_.attempt_over(attempt, rpc::read_outcome(m, reading), rpc::number_at(m.body, "tokens"),
+                              rpc::text_at(m.body, "text"));
 }
 
 Engines::Engines(Loop& loop, const Bounds& bounds, rpc::Hello hello, Owner& owner, Log& log)
@@ -263,27 +263,27 @@
     return *door.lines.back();
 }
 
-void Engines::send(ServerIndex server, LaunchId launch, std::string line, bool reading) {
+void Engines::send(ServerIndex server, AttemptId attempt, std::string line, bool reading) {
     Line& to = line_for(*doors_.at(server));
-    last_ = std::max(last_, launch);
-    out_[launch] = {&to, reading};
-    to.queue(launch, std::move(line));
+    last_ = std::max(last_, attempt);
+    out_[attempt] = {&to, reading};
+    to.queue(attempt, std::move(line));
 }
 
-void Engines::call_off(ServerIndex, LaunchId launch) {
-    const auto it = out_.find(launch);
+void Engines::call_off(ServerIndex, AttemptId attempt) {
+    const auto it = out_.find(attempt);
     if (it == out_.end()) return;
     Line& line = *it->second.line;
     out_.erase(it);
-    line.forget(launch);
-    if (!line.unsend(launch))
-        line.say(rpc::cancelled_line(rpc::Id{static_cast<std::int64_t>(launch)}, "called off"));
+    line.forget(attempt);
+    if (!line.unsend(attempt))
+        line.say(rpc::cancelled_line(rpc::Id{static_cast<std::int64_t>(attempt)}, "called off"));
 }
 
-bool Engines::unsend(LaunchId launch) {
-    const auto it = out_.find(launch);
-    if (it == out_.end() || !it->second.line->unsend(launch)) return false;
-    it->second.line->forget(launch);
+bool Engines::unsend(AttemptId attempt) {
+    const auto it = out_.find(attempt);
+    if (it == out_.end() || !it->second.line->unsend(attempt)) return false;
+    it->second.line->forget(attempt);
     out_.erase(it);
     return true;
 }
@@ -312,7 +312,7 @@
     std::unique_ptr<Line> buried = std::move(*held);
     door.lines.erase(held);
     Link::hand_off(loop_, line.take_link(), why == Closing::peer_ended);
-    const std::vector<LaunchId> launches = line.launches();
+    const std::vector<AttemptId> attempts = line.attempts();
     const std::size_t probes = line.probes();
     const bool was_open = line.open();
     loop_.bury(std::move(buried));
@@ -320,12 +320,12 @@
         log_.say(Weight::debug, "engines", "a link to an engine has closed",
                  {{"server", door.name},
                   {"error", what},
-                  {"launches", static_cast<std::int64_t>(launches.size())}});
+                  {"launches", static_cast<std::int64_t>(attempts.size())}});
 
     Outcome outcome;
     outcome.ending = was_open ? Ending::broken : Ending::unreachable;
-    for (const LaunchId launch : launches) out_.erase(launch);
-    for (const LaunchId launch : launches) owner_.launch_over(launch, outcome, 0, "");
+    for (const AttemptId attempt : attempts) out_.erase(attempt);
+    for (const AttemptId attempt : attempts) owner_.attempt_over(attempt, outcome, 0, "");
     for (std::size_t n = 0; n < probes; ++n) owner_.probe_over(door.server, false, {});
 
     while (!door.owed.empty() && loop_.now() - door.owed.front().first > kOwedFor) door.owed.pop_front();
--- a/src/gateway/engines.h
+++ b/src/gateway/engines.h
@@ -1,5 +1,6 @@
-// Links to engines: pooled, multiplexed, made when needed and closed when idle. Here a launch that was never
-// sent (unreachable) is told from one whose link broke under it (it may have run). No decision is taken here.
+// Links to engines: pooled, multiplexed, made when needed and closed when idle. Here an attempt that was
+// never sent (unreachable) is told from one whose link broke under it (it may have run). No decision is taken
+// here.
 #pragma once
 
 #include <deque>
@@ -22,9 +23,9 @@
     class Owner {
       public:
         virtual ~Owner() = default;
-        virtual void launch_over(LaunchId launch, const Outcome& outcome, double tokens,
-                                 const std::string& text) = 0;
-        virtual void token_came(LaunchId launch, std::string_view text) = 0;
+        virtual void attempt_over(AttemptId attempt, const Outcome& outcome, double tokens,
+                                  const std::string& text) = 0;
+        virtual void token_came(AttemptId attempt, std::string_view text) = 0;
         virtual void probe_over(ServerIndex server, bool answered, const LoadReport& report) = 0;
     };
 
@@ -33,14 +34,14 @@
 
     // Known from now on, under this address for ever.
     void learn(ServerIndex server, const std::string& address);
-    // A server that is gone keeps its links until their launches have ended; nothing is owed to it any more.
+    // A server that is gone keeps its links until their attempts have ended; nothing is owed to it any more.
     void gone(ServerIndex server);
 
-    // The owner is told of the launch's end, never from within these calls.
-    void send(ServerIndex server, LaunchId launch, std::string line, bool reading);
-    void call_off(ServerIndex server, LaunchId launch);
-    // True, and the owner is not told of its end: the launch still waited for its link and was never sent.
-    bool unsend(LaunchId launch);
+    // The owner is told of the attempt's end, never from within these calls.
+    void send(ServerIndex server, AttemptId attempt, std::string line, bool reading);
+    void call_off(ServerIndex server, AttemptId attempt);
+    // True, and the owner is not told of its end: the attempt still waited for its link and was never sent.
+    bool unsend(AttemptId attempt);
     void release(ServerIndex server, const std::string& state);
     void probe(ServerIndex server);
 
@@ -67,8 +68,8 @@
         Line* line = nullptr;
         bool reading = false;
     };
-    std::unordered_map<LaunchId, Out> out_;
-    LaunchId last_ = 0;
+    std::unordered_map<AttemptId, Out> out_;
+    AttemptId last_ = 0;
     std::int64_t next_probe_ = 1;
 };
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -397,8 +397,8 @@
 
 // ---- to engines
 
-std::string Gateway::state_name(LaunchId launch) const {
-    return terms_.name + "." + life_ + "/" + std::to_string(launch);
+std::string Gateway::state_name(AttemptId attempt) const {
+    return terms_.name + "." + life_ + "/" + std::to_string(attempt);
 }
 
 rpc::Order Gateway::order_of(const Open& open, Span limit) const {
@@ -416,21 +416,21 @@
     return order;
 }
 
-void Gateway::send_read(LaunchId launch, ServerIndex to, QueryIndex query, Span limit) {
+void Gateway::send_read(AttemptId attempt, ServerIndex to, QueryIndex query, Span limit) {
     rpc::Order order = order_of(open_[query], limit);
-    order.state = state_name(launch);
+    order.state = state_name(attempt);
     order.prompt = open_[query].ask.prompt;
-    const rpc::Id id{static_cast<std::int64_t>(launch)};
-    engines_->send(to, launch, rpc::order_line(id, rpc::kRead, order), true);
+    const rpc::Id id{static_cast<std::int64_t>(attempt)};
+    engines_->send(to, attempt, rpc::order_line(id, rpc::kRead, order), true);
     if (log_.writes(Weight::debug))
         log_.say(Weight::debug, "gateway", "launch to read",
                  {{"query", order.query},
-                  {"launch", static_cast<std::int64_t>(launch)},
+                  {"launch", static_cast<std::int64_t>(attempt)},
                   {"server", servers_.name(to)}});
 }
 
-void Gateway::send_write(LaunchId launch, ServerIndex to, QueryIndex query, LaunchId state, ServerIndex from,
-                         Span limit) {
+void Gateway::send_write(AttemptId attempt, ServerIndex to, QueryIndex query, AttemptId state,
+                         ServerIndex from, Span limit) {
     const Open& open = open_[query];
     rpc::Order order = order_of(open, limit);
     if (state != 0) {
@@ -439,18 +439,18 @@
     } else {
         order.prompt = open.ask.prompt;
     }
-    const rpc::Id id{static_cast<std::int64_t>(launch)};
-    engines_->send(to, launch, rpc::order_line(id, rpc::kWrite, order), false);
+    const rpc::Id id{static_cast<std::int64_t>(attempt)};
+    engines_->send(to, attempt, rpc::order_line(id, rpc::kWrite, order), false);
     if (log_.writes(Weight::debug))
         log_.say(Weight::debug, "gateway", "launch to write",
                  {{"query", order.query},
-                  {"launch", static_cast<std::int64_t>(launch)},
+                  {"launch", static_cast<std::int64_t>(attempt)},
                   {"server", servers_.name(to)}});
 }
 
-void Gateway::call_off(LaunchId launch, ServerIndex at) { engines_->call_off(at, launch); }
+void Gateway::call_off(AttemptId attempt, ServerIndex at) { engines_->call_off(at, attempt); }
 
-void Gateway::release(ServerIndex at, LaunchId state) { engines_->release(at, state_name(state)); }
+void Gateway::release(ServerIndex at, AttemptId state) { engines_->release(at, state_name(state)); }
 
 void Gateway::probe(ServerIndex server) { engines_->probe(server); }
 
@@ -458,16 +458,17 @@
 
 // ---- from engines
 
-void Gateway::launch_over(LaunchId launch, const Outcome& outcome, double tokens, const std::string& text) {
+void Gateway::attempt_over(AttemptId attempt, const Outcome& outcome, double tokens,
+                           const std::string& text) {
     settled_tokens_ = tokens;
     settled_text_ = text;
     if (trace_) trace_->whole_answer(tokens);
-    desk_->launch_ended(launch, outcome);
+    desk_->attempt_ended(attempt, outcome);
 }
 
-void Gateway::token_came(LaunchId launch, std::string_view text) {
+void Gateway::token_came(AttemptId attempt, std::string_view text) {
     QueryIndex query = 0;
-    if (!desk_->token_came(launch, query)) return;
+    if (!desk_->token_came(attempt, query)) return;
     Open& open = open_[query];
     open.tokens += 1;
     callers_->tokens(open.caller, open.id, text);
@@ -563,7 +564,7 @@
         desk_->give_up_all("the gateway stops");
     }
     const bool owes = desk_->open_queries() > 0 ||
-                      ((desk_->launches_out() > 0 || engines_->owed() > 0) && loop_.now() < stop_by_);
+                      ((desk_->attempts_out() > 0 || engines_->owed() > 0) && loop_.now() < stop_by_);
     if (owes) {
         stop_timer_.set(kLookForEnd);
         return;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -66,12 +66,12 @@
 
     Instant now() const override { return loop_.now(); }
     void wake_at(Instant at) override;
-    void send_read(LaunchId launch, ServerIndex to, QueryIndex query, Span limit) override;
-    void send_write(LaunchId launch, ServerIndex to, QueryIndex query, LaunchId state, ServerIndex from,
+    void send_read(AttemptId attempt, ServerIndex to, QueryIndex query, Span limit) override;
+    void send_write(AttemptId attempt, ServerIndex to, QueryIndex query, AttemptId state, ServerIndex from,
                     Span limit) override;
-    void call_off(LaunchId launch, ServerIndex at) override;
-    bool unsend(LaunchId launch, ServerIndex) override { return engines_->unsend(launch); }
-    void release(ServerIndex at, LaunchId state) override;
+    void call_off(AttemptId attempt, ServerIndex at) override;
+    bool unsend(AttemptId attempt, ServerIndex) override { return engines_->unsend(attempt); }
+    void release(ServerIndex at, AttemptId state) override;
     void probe(ServerIndex server) override;
     void subscribe() override;
     void tell_peers(std::string_view note) override {
@@ -90,9 +90,9 @@
     rpc::Json watching_told() const;
     void left(CallerId caller, const rpc::Id& id) override;
 
-    void launch_over(LaunchId launch, const Outcome& outcome, double tokens,
-                     const std::string& text) override;
-    void token_came(LaunchId launch, std::string_view text) override;
+    void attempt_over(AttemptId attempt, const Outcome& outcome, double tokens,
+                      const std::string& text) override;
+    void token_came(AttemptId attempt, std::string_view text) override;
     void probe_over(ServerIndex server, bool answered, const LoadReport& report) override;
 
     struct Read {
@@ -105,7 +105,7 @@
     void look_for_read();
     Terms adopt(const GatewayTerms& terms);
     std::vector<RouteLimits> route_limits() const;
-    std::string state_name(LaunchId launch) const;
+    std::string state_name(AttemptId attempt) const;
     rpc::Order order_of(const Open& open, Span limit) const;
     void answer(QueryIndex query, const std::string& line, const char* how);
     void look_for_end();
--- a/src/gateway/trace_feed.cpp
+++ b/src/gateway/trace_feed.cpp
@@ -96,11 +96,11 @@
     put(r);
 }
 
-void TraceFeed::launched(QueryIndex query, LaunchId launch, ServerIndex to, bool reading, Span limit,
-                         const Choice& choice) {
+void TraceFeed::started(QueryIndex query, AttemptId attempt, ServerIndex to, bool reading, Span limit,
+                        const Choice& choice) {
     Row& r = row(reading ? Deed::read : Deed::write, query);
     r[decision_column::server] = server(to);
-    r[decision_column::launch] = static_cast<std::int64_t>(launch);
+    r[decision_column::attempt] = static_cast<std::int64_t>(attempt);
     r[decision_column::why] = literal(choice.why);
     r[decision_column::limit] = limit.us;
     r[decision_column::of] = static_cast<std::int64_t>(choice.of);
@@ -111,21 +111,21 @@
     put(r);
 }
 
-void TraceFeed::launch_over(QueryIndex query, LaunchId launch, ServerIndex at, Ending ending, Span took,
-                            std::string_view why) {
+void TraceFeed::attempt_over(QueryIndex query, AttemptId attempt, ServerIndex at, Ending ending, Span took,
+                             std::string_view why) {
     Row& r = row(Deed::over, query);
     r[decision_column::server] = server(at);
-    r[decision_column::launch] = static_cast<std::int64_t>(launch);
+    r[decision_column::attempt] = static_cast<std::int64_t>(attempt);
     r[decision_column::ending] = static_cast<std::int64_t>(ending);
     r[decision_column::took] = took.us;
     r[decision_column::why] = literal(why);
     put(r);
 }
 
-void TraceFeed::first_token(QueryIndex query, LaunchId launch, ServerIndex at, Span took) {
+void TraceFeed::first_token(QueryIndex query, AttemptId attempt, ServerIndex at, Span took) {
     Row& r = row(Deed::first_token, query);
     r[decision_column::server] = server(at);
-    r[decision_column::launch] = static_cast<std::int64_t>(launch);
+    r[decision_column::attempt] = static_cast<std::int64_t>(attempt);
     r[decision_column::took] = took.us;
     put(r);
 }
@@ -137,10 +137,10 @@
     put(r);
 }
 
-void TraceFeed::released(QueryIndex query, ServerIndex at, LaunchId state) {
+void TraceFeed::released(QueryIndex query, ServerIndex at, AttemptId state) {
     Row& r = row(Deed::released, query);
     r[decision_column::server] = server(at);
-    r[decision_column::launch] = static_cast<std::int64_t>(state);
+    r[decision_column::attempt] = static_cast<std::int64_t>(state);
     put(r);
 }
 
@@ -172,7 +172,7 @@
     if (a.reads > 0) q[reader] = server(a.reader);
     if (a.writes > 0) q[writer] = server(a.writer);
     q[read_tokens] = whole(a.read_tokens);
-    q[query_column::held] = a.reads + a.writes > 0 ? (a.first_launch - a.came).us : -1;
+    q[query_column::held] = a.reads + a.writes > 0 ? (a.first_attempt - a.came).us : -1;
     q[copies] = a.copies;
     q[generation] = k.generation;
     q[latency_goal] = k.latency_goal;
--- a/src/gateway/trace_feed.h
+++ b/src/gateway/trace_feed.h
@@ -37,13 +37,13 @@
     const trace::Recorder& recorder() const { return *recorder_; }
 
     void held(QueryIndex query, std::string_view why) override;
-    void launched(QueryIndex query, LaunchId launch, ServerIndex server, bool reading, Span limit,
-                  const Choice& choice) override;
-    void launch_over(QueryIndex query, LaunchId launch, ServerIndex server, Ending ending, Span took,
-                     std::string_view why) override;
-    void first_token(QueryIndex query, LaunchId launch, ServerIndex server, Span took) override;
+    void started(QueryIndex query, AttemptId attempt, ServerIndex server, bool reading, Span limit,
+                 const Choice& choice) override;
+    void attempt_over(QueryIndex query, AttemptId attempt, ServerIndex server, Ending ending, Span took,
+                      std::string_view why) override;
+    void first_token(QueryIndex query, AttemptId attempt, ServerIndex server, Span took) override;
     void copied(QueryIndex query, ServerIndex slow) override;
-    void released(QueryIndex query, ServerIndex server, LaunchId state) override;
+    void released(QueryIndex query, ServerIndex server, AttemptId state) override;
     void ended(QueryIndex query, Fate fate, std::string_view why, const Account& account) override;
     void shut(ServerIndex server, bool out) override;
 
--- a/src/limits/admission.cpp
+++ b/src/limits/admission.cpp
@@ -141,7 +141,7 @@
     c.in_hand += 1;
     c.prompt_tokens += prompt_tokens;
     if (again) r.retries->repeated_by_caller(now);
-    r.copies->launched_first(now);  // their share is one of queries
+    r.copies->first_attempt_started(now);  // their share is one of queries
     return v;
 }
 
@@ -158,8 +158,8 @@
     c.held = std::max(0.0, c.held + change);
 }
 
-void Admission::launched_first(RouteIndex route, Instant now) {
-    routes_.at(route).retries->launched_first(now);
+void Admission::first_attempt_started(RouteIndex route, Instant now) {
+    routes_.at(route).retries->first_attempt_started(now);
 }
 
 Span Admission::copy_after(RouteIndex route) const {
@@ -180,7 +180,7 @@
     return true;
 }
 
-bool Admission::may_launch_again(RouteIndex route, Instant now) {
+bool Admission::may_attempt_again(RouteIndex route, Instant now) {
     Route& r = routes_.at(route);
     if (r.limits.retry_share >= kNoLimit || r.retries->take(now)) return true;
     ++r.counts.further_refused;
--- a/src/limits/admission.h
+++ b/src/limits/admission.h
@@ -1,4 +1,4 @@
-// Whether a query of a route is taken, and whether it may have one more launch. One route's trouble does not
+// Whether a query of a route is taken, and whether it may have one more attempt. One route's trouble does not
 // become another's: each has its own budgets, and a query over one of them is declined at once, with a time
 // to come back. Gateways share nothing: a limit stated for the fleet is divided by how many gateways there
 // are. Free of I/O and clocks.
@@ -48,11 +48,11 @@
     void query_over(RouteIndex route, double prompt_tokens, bool began, Instant now);
     // A query waits for its read, or no longer does.
     void held(RouteIndex route, int change);
-    void launched_first(RouteIndex route, Instant now);
-    bool may_launch_again(RouteIndex route, Instant now);
+    void first_attempt_started(RouteIndex route, Instant now);
+    bool may_attempt_again(RouteIndex route, Instant now);
     // How long after a query came a second copy may be thought of; 0: never.
     Span copy_after(RouteIndex route) const;
-    // Takes one second copy out of its budget and out of that of further launches; false: there is none left.
+    // Takes one second copy out of its budget and out of that of further attempts; false: there is none left.
     bool may_copy(RouteIndex route, Instant now);
     void began(RouteIndex route, Span first_token, Instant now);
     void tokens_came(RouteIndex route, double tokens, Instant now);
--- a/src/limits/retry_budget.cpp
+++ b/src/limits/retry_budget.cpp
@@ -30,7 +30,7 @@
     return share_ * firsts_ + floor_ * static_cast<double>(window_.us) / 1e6;
 }
 
-void RetryBudget::launched_first(Instant now, double weight) {
+void RetryBudget::first_attempt_started(Instant now, double weight) {
     move_on(now);
     first_[at_] += weight;
 }
--- a/src/limits/retry_budget.h
+++ b/src/limits/retry_budget.h
@@ -1,4 +1,4 @@
-// Further launches of a route as a share of its first ones over a sliding window, plus a small floor: a
+// Further attempts of a route as a share of its first ones over a sliding window, plus a small floor: a
 // failure of the whole fleet then costs that share more load, not several times the load. Free of I/O and
 // clocks.
 #pragma once
@@ -12,12 +12,12 @@
 
 class RetryBudget {
   public:
-    // `share` of first launches, and `floor` launches a second besides, over `window`.
+    // `share` of first attempts, and `floor` attempts a second besides, over `window`.
     RetryBudget(double share, double floor, Span window, Instant now);
-    void launched_first(Instant now, double weight = 1);
-    // Takes one further launch out of the budget; false, and nothing is taken, where there is none left.
+    void first_attempt_started(Instant now, double weight = 1);
+    // Takes one further attempt out of the budget; false, and nothing is taken, where there is none left.
     bool take(Instant now);
-    // A caller's own repeat: it is a first launch here, but further load for the fleet.
+    // A caller's own repeat: it is a first attempt here, but further load for the fleet.
     void repeated_by_caller(Instant now);
     double left(Instant now);
     // Other figures from now on; what was spent stays spent, so that a reload frees nothing.
--- a/src/limits/route_limits.h
+++ b/src/limits/route_limits.h
@@ -11,17 +11,17 @@
 constexpr double kNoLimit = 1e18;
 constexpr std::uint32_t kAnyNumber = 1U << 30;
 
-// Why a launch is followed by another.
+// Why an attempt is followed by another.
 enum class Cause { unreachable, full, failed, silent };
 constexpr int kCauses = 4;
 
 struct RouteLimits {
     // Time limits; 0: none beyond the query's hard stop.
     Span connect, read, hand_over, first_token, gap, whole;
-    // Launches.
-    std::uint32_t most_launches = kAnyNumber;
+    // Attempts.
+    std::uint32_t most_attempts = kAnyNumber;
     std::uint32_t most_after[kCauses] = {kAnyNumber, kAnyNumber, kAnyNumber, kAnyNumber};
-    // Further launches as a share of first ones over a window, and so many a second besides.
+    // Further attempts as a share of first ones over a window, and so many a second besides.
     double retry_share = kNoLimit, retry_floor = 0;
     Span retry_window{10000000};
     // Second copies of pure queries: after so long without a first token (0: learned), as a share of queries.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -245,17 +245,17 @@
 }
 
 void Node::closed(QueryIndex query) {
-    for (const Open::Attempt& attempt : open_[query].attempts) of_launch_.erase(attempt.id);
+    for (const Open::Attempt& attempt : open_[query].attempts) of_attempt_.erase(attempt.id);
     open_[query] = Open{};
 }
 
 // ---- to servers
 
-void Node::send(LaunchId launch, ServerIndex to, QueryIndex query, Span limit, bool reading) {
+void Node::send(AttemptId attempt, ServerIndex to, QueryIndex query, Span limit, bool reading) {
     Open& open = open_[query];
-    open.attempts.push_back({launch, to, reading});
-    of_launch_[launch] = query;
-    request_log_.attempt_started(described(query, launch), loop_.now());
+    open.attempts.push_back({attempt, to, reading});
+    of_attempt_[attempt] = query;
+    request_log_.attempt_started(described(query, attempt), loop_.now());
     UpstreamPool::Call call;
     call.reading = reading;
     call.until = loop_.now() + limit;
@@ -266,29 +266,30 @@
     call.after.reserve(open.body.size() + 64);
     call.after.append("\r\nContent-Length: ").append(std::to_string(open.body.size())).append("\r\n\r\n");
     call.after.append(open.body);
-    upstreams_->send(to, launch, std::move(call));
+    upstreams_->send(to, attempt, std::move(call));
 }
 
-void Node::send_read(LaunchId launch, ServerIndex to, QueryIndex query, Span limit) {
-    send(launch, to, query, limit, true);
+void Node::send_read(AttemptId attempt, ServerIndex to, QueryIndex query, Span limit) {
+    send(attempt, to, query, limit, true);
 }
 
-void Node::send_write(LaunchId launch, ServerIndex to, QueryIndex query, LaunchId, ServerIndex, Span limit) {
-    send(launch, to, query, limit, false);
+void Node::send_write(AttemptId attempt, ServerIndex to, QueryIndex query, AttemptId, ServerIndex,
+                      Span limit) {
+    send(attempt, to, query, limit, false);
 }
 
-void Node::call_off(LaunchId launch, ServerIndex) {
-    if (const auto it = of_launch_.find(launch); it != of_launch_.end())
-        request_log_.attempt_over(described(it->second, launch), Ending::retracted,
+void Node::call_off(AttemptId attempt, ServerIndex) {
+    if (const auto it = of_attempt_.find(attempt); it != of_attempt_.end())
+        request_log_.attempt_over(described(it->second, attempt), Ending::retracted,
                                   "called off by the gateway", loop_.now());
-    upstreams_->call_off(launch);
+    upstreams_->call_off(attempt);
 }
 
-bool Node::unsend(LaunchId launch, ServerIndex) { return upstreams_->unsend(launch); }
+bool Node::unsend(AttemptId attempt, ServerIndex) { return upstreams_->unsend(attempt); }
 
-void Node::release(ServerIndex at, LaunchId state) {
-    const auto it = of_launch_.find(state);
-    if (it == of_launch_.end()) return;
+void Node::release(ServerIndex at, AttemptId state) {
+    const auto it = of_attempt_.find(state);
+    if (it == of_attempt_.end()) return;
     const Open& open = open_[it->second];
     const auto still_open = by_id_.find(open.id);
     ReleaseOrder order;
@@ -319,23 +320,23 @@
     request_log_.release_given_up(id, held_for(result), result.history);
 }
 
-Denial Node::may_write(LaunchId launch, Span told) {
-    const auto it = of_launch_.find(launch);
-    const bool gone = it == of_launch_.end() || clients_->has_left(open_[it->second].client);
-    return desk_->may_be_written(launch, gone, told);
+Denial Node::may_write(AttemptId attempt, Span told) {
+    const auto it = of_attempt_.find(attempt);
+    const bool gone = it == of_attempt_.end() || clients_->has_left(open_[it->second].client);
+    return desk_->may_be_written(attempt, gone, told);
 }
 
 // ---- from servers
 
-RequestLog::Attempt Node::described(QueryIndex query, LaunchId launch) const {
+RequestLog::Attempt Node::described(QueryIndex query, AttemptId attempt) const {
     const Open& open = open_[query];
     RequestLog::Attempt described;
     described.request = open.id;
-    described.id = launch;
-    for (const Open::Attempt& attempt : open.attempts) {
-        if (attempt.id == launch) {
-            described.server = known_[attempt.server].name;
-            described.prefill = attempt.prefill;
+    described.id = attempt;
+    for (const Open::Attempt& made : open.attempts) {
+        if (made.id == attempt) {
+            described.server = known_[made.server].name;
+            described.prefill = made.prefill;
             break;
         }
         ++described.number;
@@ -343,10 +344,10 @@
     return described;
 }
 
-void Node::launch_over(LaunchId launch, const Outcome& outcome, const std::string& what) {
-    const auto it = of_launch_.find(launch);
-    if (it != of_launch_.end()) {
-        request_log_.attempt_over(described(it->second, launch), outcome.ending, what, loop_.now());
+void Node::attempt_over(AttemptId attempt, const Outcome& outcome, const std::string& what) {
+    const auto it = of_attempt_.find(attempt);
+    if (it != of_attempt_.end()) {
+        request_log_.attempt_over(described(it->second, attempt), outcome.ending, what, loop_.now());
         const Open& open = open_[it->second];
         if (outcome.ending == Ending::unsent) {
             const ClientId client = open.client;
@@ -354,23 +355,23 @@
             left(client);
         }
     }
-    desk_->launch_ended(launch, outcome);
+    desk_->attempt_ended(attempt, outcome);
 }
 
-void Node::events_came(LaunchId launch, std::string_view events, std::size_t) {
+void Node::events_came(AttemptId attempt, std::string_view events, std::size_t) {
     QueryIndex query = 0;
-    if (!desk_->token_came(launch, query)) return;
+    if (!desk_->token_came(attempt, query)) return;
     Open& open = open_[query];
     if (!open.streams) {
-        request_log_.first_event(open.id, launch);
+        request_log_.first_event(open.id, attempt);
         open.streams = true;
-        open.bound = launch;
+        open.bound = attempt;
         // Nothing is sent for it any more.
         open.body = {};
         open.forwarded_fields = {};
         clients_->begin_stream(open.client);
     }
-    if (!clients_->pass_on(open.client, events)) upstreams_->hold_back(launch, true);
+    if (!clients_->pass_on(open.client, events)) upstreams_->hold_back(attempt, true);
 }
 
 // ---- the list
@@ -517,7 +518,7 @@
     facts.since_asked = loop_.now() - stop_asked_;
     facts.listening = listener_ != nullptr;
     facts.requests = desk_->open_queries();
-    facts.attempts = desk_->launches_out();
+    facts.attempts = desk_->attempts_out();
     facts.releases = upstreams_->owed();
     if (facts.since_asked < kStayForLateAttempts) facts.releases += upstreams_->late_attempts().size();
     facts.unsent_answers = loop_.adopted();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -51,9 +51,9 @@
         std::string id, method, target, body;
         std::string forwarded_fields;  // header lines that go on to the model server as they came
         bool used = false, streams = false;
-        LaunchId bound = 0;  // the launch whose stream the client gets
+        AttemptId bound = 0;  // the attempt whose stream the client gets
         struct Attempt {
-            LaunchId id = 0;
+            AttemptId id = 0;
             ServerIndex server = 0;
             bool prefill = false;
         };
@@ -63,13 +63,13 @@
     Span held_for(const HoldLedger::ReleaseResult& result) const;
     Instant now() const override { return loop_.now(); }
     void wake_at(Instant at) override { wake_.set(at - loop_.now()); }
-    void send_read(LaunchId launch, ServerIndex to, QueryIndex query, Span limit) override;
-    void send_write(LaunchId launch, ServerIndex to, QueryIndex query, LaunchId state, ServerIndex from,
+    void send_read(AttemptId attempt, ServerIndex to, QueryIndex query, Span limit) override;
+    void send_write(AttemptId attempt, ServerIndex to, QueryIndex query, AttemptId state, ServerIndex from,
                     Span limit) override;
-    void call_off(LaunchId launch, ServerIndex at) override;
-    bool unsend(LaunchId launch, ServerIndex at) override;
+    void call_off(AttemptId attempt, ServerIndex at) override;
+    bool unsend(AttemptId attempt, ServerIndex at) override;
     bool releases_are_answered() const override { return true; }
-    void release(ServerIndex at, LaunchId state) override;
+    void release(ServerIndex at, AttemptId state) override;
     void probe(ServerIndex) override {}
     void subscribe() override {}
     void settled(QueryIndex query) override;
@@ -82,11 +82,11 @@
     void left(ClientId client) override;
     void may_go_on(ClientId client) override;
 
-    void launch_over(LaunchId launch, const Outcome& outcome, const std::string& what) override;
-    RequestLog::Attempt described(QueryIndex query, LaunchId launch) const;
-    void events_came(LaunchId launch, std::string_view events, std::size_t count) override;
-    Denial may_write(LaunchId launch, Span told) override;
-    void answer_began(LaunchId launch) override { desk_->answer_began(launch); }
+    void attempt_over(AttemptId attempt, const Outcome& outcome, const std::string& what) override;
+    RequestLog::Attempt described(QueryIndex query, AttemptId attempt) const;
+    void events_came(AttemptId attempt, std::string_view events, std::size_t count) override;
+    Denial may_write(AttemptId attempt, Span told) override;
+    void answer_began(AttemptId attempt) override { desk_->answer_began(attempt); }
     void release_answered(const std::string& id, const HoldLedger::ReleaseResult& result) override;
     void release_given_up(const std::string& id, const HoldLedger::ReleaseResult& result) override;
     SendGuard& guard() override { return desk_->guard(); }
@@ -97,7 +97,7 @@
     bool is_usable(const platform::Entry& entry);
     void server_removed(ServerIndex server);
     ServerIndex index_of(const platform::Entry& entry, Instant started);
-    void send(LaunchId launch, ServerIndex to, QueryIndex query, Span limit, bool reading);
+    void send(AttemptId attempt, ServerIndex to, QueryIndex query, Span limit, bool reading);
     Open& answered(QueryIndex query);
     void look_for_end();
     void log_status();
@@ -112,7 +112,7 @@
     std::vector<Open> open_;  // by query
     std::unordered_map<std::string, QueryIndex> by_id_;
     std::unordered_map<ClientId, QueryIndex> by_client_;
-    std::unordered_map<LaunchId, QueryIndex> of_launch_;  // until the query is closed
+    std::unordered_map<AttemptId, QueryIndex> of_attempt_;  // until the query is closed
     struct Known {
         std::string name;
         Instant born;
--- a/src/node/upstream_pool.cpp
+++ b/src/node/upstream_pool.cpp
@@ -20,7 +20,7 @@
 
 class UpstreamPool::Connection : public Stream::Owner {
   public:
-    enum class Use { none, launch, release };
+    enum class Use { none, attempt, release };
 
     Connection(UpstreamPool& all, ServerIndex server, const Address& to, std::uint32_t life)
         : all_(all), server_(server), life_(life) {
@@ -30,7 +30,7 @@
     ServerIndex server() const { return server_; }
     std::uint32_t life() const { return life_; }
     Use use() const { return use_; }
-    LaunchId launch() const { return launch_; }
+    AttemptId attempt() const { return attempt_; }
     bool never_sent() const { return !stream_->made() || stream_->unsent() > 0; }
     bool nothing_sent() const { return !stream_->made(); }
     Instant rested() const { return rested_; }
@@ -38,12 +38,12 @@
     std::list<Connection*>::iterator resting_order;
     std::unique_ptr<Stream> take_stream() { return std::move(stream_); }
 
-    // It was kept from an earlier launch, and nothing has come on it since.
+    // It was kept from an earlier attempt, and nothing has come on it since.
     bool is_stale() const { return kept_ && !message_ && interim_ == 0; }
 
-    void carry(LaunchId launch, Call call) {
-        use_ = Use::launch;
-        launch_ = launch;
+    void carry(AttemptId attempt, Call call) {
+        use_ = Use::attempt;
+        attempt_ = attempt;
         reading_ = call.reading;
         begin(std::move(call));
     }
@@ -55,7 +55,7 @@
     ReleaseCallId release_call() const { return release_call_; }
     void rest() {
         use_ = Use::none;
-        launch_ = 0;
+        attempt_ = 0;
         message_.reset();
         events_.reset();
         rested_ = all_.loop_.now();
@@ -65,8 +65,8 @@
         stream_->pause_reading(hold);
         if (hold) return;
         UpstreamPool* const all = &all_;
-        all_.loop_.post([all, self = this, launch = launch_] {
-            const auto it = all->out_.find(launch);
+        all_.loop_.post([all, self = this, attempt = attempt_] {
+            const auto it = all->out_.find(attempt);
             if (it != all->out_.end() && it->second == self) self->read();
         });
     }
@@ -79,16 +79,16 @@
         all_.heard_from(server_);
         // Against a second answer that comes late: the next request would take it for its own.
         if (use_ == Use::none) return all_.drop(*this, false);
-        if (use_ == Use::launch && answer_began_.us == 0) {
+        if (use_ == Use::attempt && answer_began_.us == 0) {
             answer_began_ = all_.loop_.now();
-            all_.owner_.answer_began(launch_);
+            all_.owner_.answer_began(attempt_);
         }
         read();
     }
     // The rest of an answer that is no stream has not come within this time. A prefill server has read by the
     // time that it answers; what a decode server has begun to say may yet become a stream.
     bool is_incomplete(Span within) const {
-        if (use_ != Use::launch || answer_began_.us == 0 || events_) return false;
+        if (use_ != Use::attempt || answer_began_.us == 0 || events_) return false;
         const bool head_done = message_ && message_->head_done();
         return (reading_ || head_done) && all_.loop_.now() - answer_began_ >= within;
     }
@@ -130,11 +130,11 @@
         if (use_ == Use::release) return stream_->send(call.before);
         Span left = call.until - all_.loop_.now();
         if (is_sabotaged(Sabotage::deadline_overstated)) left = left + kOverstatedBy;
-        switch (const Denial denial = all_.owner_.may_write(launch_, left)) {
+        switch (const Denial denial = all_.owner_.may_write(attempt_, left)) {
             case Denial::none:
                 break;
             case Denial::client_gone:
-                all_.not_awaited(launch_);
+                all_.not_awaited(attempt_);
                 return all_.drop(*this, false);
             default:
                 return all_.lost(*this, Loss::never_sent, text_of(denial));
@@ -162,7 +162,7 @@
         }
     }
 
-    // False: nothing more is to be read for this launch.
+    // False: nothing more is to be read for this attempt.
     bool read_on() {
         const http::Head& head = message_->head();
         const bool bad = message_->trouble() != http::Trouble::none;
@@ -172,20 +172,20 @@
             message_.reset();
             return last || ++interim_ > kMostInterim ? spoilt("1xx answers without end") : true;
         }
-        if (message_->head_done() && use_ == Use::launch && platform::begins_stream(head)) {
+        if (message_->head_done() && use_ == Use::attempt && platform::begins_stream(head)) {
             if (!events_) events_ = std::make_unique<platform::Events>();
             std::string whole;
             std::size_t count = 0;
             const bool well = events_->take(piece_, whole, count);
             piece_ = {};
-            // Nothing has been passed on yet, so the launch may end as if nothing had come.
+            // Nothing has been passed on yet, so the attempt may end as if nothing had come.
             if ((bad || !well) && !begun_) return spoilt(bad ? message_->what() : "no event");
             if (count > 0) {
                 begun_ = true;
-                const LaunchId launch = launch_;
+                const AttemptId attempt = attempt_;
                 const std::shared_ptr<bool> alive = alive_;
-                all_.owner_.events_came(launch, whole, count);
-                if (!*alive || use_ != Use::launch || launch_ != launch) return false;
+                all_.owner_.events_came(attempt, whole, count);
+                if (!*alive || use_ != Use::attempt || attempt_ != attempt) return false;
             }
             if (bad || !well) return spoilt(bad ? message_->what() : "no event");
             if (message_->done()) {
@@ -231,7 +231,7 @@
     const std::uint32_t life_;
     std::unique_ptr<Stream> stream_;
     Use use_ = Use::none;
-    LaunchId launch_ = 0;
+    AttemptId attempt_ = 0;
     ReleaseCallId release_call_ = 0;
     Call call_;  // waits for the connection
     std::unique_ptr<http::Message> message_;
@@ -284,7 +284,7 @@
     // Most servers of a large list have nothing in use.
     if (upstreams_[server].connections == upstreams_[server].idle.size()) return;
     std::vector<Connection*> waiting;
-    for (const auto& [launch, connection] : out_)
+    for (const auto& [attempt, connection] : out_)
         if (connection->server() == server && connection->nothing_sent()) waiting.push_back(connection);
     for (Connection* connection : waiting)
         lost(*connection, Loss::never_sent, "the server takes nothing new");
@@ -340,26 +340,27 @@
     return true;
 }
 
-void UpstreamPool::send(ServerIndex server, LaunchId launch, Call call) {
-    if (owner_.may_write(launch, call.until - loop_.now()) == Denial::client_gone) return not_awaited(launch);
+void UpstreamPool::send(ServerIndex server, AttemptId attempt, Call call) {
+    if (owner_.may_write(attempt, call.until - loop_.now()) == Denial::client_gone)
+        return not_awaited(attempt);
     Connection* connection = connection_to(server);
-    out_[launch] = connection;
-    connection->carry(launch, std::move(call));
+    out_[attempt] = connection;
+    connection->carry(attempt, std::move(call));
 }
 
-void UpstreamPool::call_off(LaunchId launch) {
-    const auto it = out_.find(launch);
+void UpstreamPool::call_off(AttemptId attempt) {
+    const auto it = out_.find(attempt);
     if (it == out_.end()) return;
     Connection& connection = *it->second;
     out_.erase(it);
     // Against a server that hangs and reads later what lies in its socket: a reset takes that back, an end
-    // does not, and the launch would run after another one of its query.
+    // does not, and the attempt would run after another one of its query.
     drop(connection, true);
 }
 
-bool UpstreamPool::unsend(LaunchId launch) {
-    if (not_awaited_.erase(launch) > 0) return true;
-    const auto it = out_.find(launch);
+bool UpstreamPool::unsend(AttemptId attempt) {
+    if (not_awaited_.erase(attempt) > 0) return true;
+    const auto it = out_.find(attempt);
     if (it == out_.end() || !it->second->never_sent()) return false;
     Connection& connection = *it->second;
     out_.erase(it);
@@ -368,8 +369,8 @@
     return true;
 }
 
-void UpstreamPool::hold_back(LaunchId launch, bool hold) {
-    if (const auto it = out_.find(launch); it != out_.end()) it->second->hold_back(hold);
+void UpstreamPool::hold_back(AttemptId attempt, bool hold) {
+    if (const auto it = out_.find(attempt); it != out_.end()) it->second->hold_back(hold);
 }
 
 void UpstreamPool::drop(Connection& connection, bool reset) {
@@ -391,42 +392,42 @@
 }
 
 void UpstreamPool::ended(Connection& connection, const Outcome& outcome) {
-    const LaunchId launch = connection.launch();
-    out_.erase(launch);
+    const AttemptId attempt = connection.attempt();
+    out_.erase(attempt);
     rest(connection);
-    owner_.launch_over(launch, outcome, "");
+    owner_.attempt_over(attempt, outcome, "");
 }
 
 void UpstreamPool::lost(Connection& connection, Loss loss, const std::string& what) {
-    if (connection.use() != Connection::Use::launch) return drop(connection, false);
+    if (connection.use() != Connection::Use::attempt) return drop(connection, false);
     const bool never_sent = loss == Loss::never_sent;
-    const LaunchId launch = connection.launch();
-    out_.erase(launch);
+    const AttemptId attempt = connection.attempt();
+    out_.erase(attempt);
     ++(never_sent ? counts_.not_made : counts_.broken);
     const bool stale = connection.is_stale();
     Upstream& upstream = upstreams_[connection.server()];
     drop(connection, never_sent);
     // Against servers that part with kept connections without a word: the others there are as old, and each
-    // would cost a launch to find out.
+    // would cost an attempt to find out.
     while (stale && !upstream.idle.empty()) drop(*upstream.idle.back(), false);
     Outcome outcome;
     outcome.ending = never_sent ? Ending::unreachable : Ending::broken;
     outcome.stale = stale && !never_sent;
     outcome.closed_here = loss == Loss::closed_here;
-    loop_.post([this, launch, outcome, what] { owner_.launch_over(launch, outcome, what); });
+    loop_.post([this, attempt, outcome, what] { owner_.attempt_over(attempt, outcome, what); });
 }
 
-// Against a launch for a client that has gone, whose end waits behind other events.
-void UpstreamPool::not_awaited(LaunchId launch) {
-    out_.erase(launch);
+// Against an attempt for a client that has gone, whose end waits behind other events.
+void UpstreamPool::not_awaited(AttemptId attempt) {
+    out_.erase(attempt);
     ++counts_.not_made;
-    not_awaited_.insert(launch);
-    loop_.post([this, launch] {
-        if (not_awaited_.count(launch) == 0) return;
+    not_awaited_.insert(attempt);
+    loop_.post([this, attempt] {
+        if (not_awaited_.count(attempt) == 0) return;
         Outcome outcome;
         outcome.ending = Ending::unsent;
-        owner_.launch_over(launch, outcome, "its client has gone");
-        not_awaited_.erase(launch);
+        owner_.attempt_over(attempt, outcome, "its client has gone");
+        not_awaited_.erase(attempt);
     });
 }
 
@@ -496,7 +497,7 @@
     const Span within = owner_.guard().answer_completion_time();
     if (within.us <= 0) return;
     std::vector<Connection*> incomplete;
-    for (const auto& [launch, connection] : out_) {
+    for (const auto& [attempt, connection] : out_) {
         if (connection->is_incomplete(within)) incomplete.push_back(connection);
     }
     for (Connection* connection : incomplete) connection->end_incomplete();
--- a/src/node/upstream_pool.h
+++ b/src/node/upstream_pool.h
@@ -1,6 +1,6 @@
-// Connections to model servers: pooled by server, one launch at a time on each, made when needed and closed
-// before the server would. Here a launch that was never sent (unreachable) is told from one that may have run
-// (broken). Nothing is ever sent again by itself.
+// Connections to model servers: pooled by server, one attempt at a time on each, made when needed and closed
+// before the server would. Here an attempt that was never sent (unreachable) is told from one that may have
+// run (broken). Nothing is ever sent again by itself.
 #pragma once
 
 #include <cstdint>
@@ -34,14 +34,14 @@
       public:
         virtual ~Owner() = default;
         // Never from within a call to the pool. `what`: a plain reason, where there is one.
-        virtual void launch_over(LaunchId launch, const Outcome& outcome, const std::string& what) = 0;
+        virtual void attempt_over(AttemptId attempt, const Outcome& outcome, const std::string& what) = 0;
         // Whole events, unchanged; `count` of them carry something.
-        virtual void events_came(LaunchId launch, std::string_view events, std::size_t count) = 0;
+        virtual void events_came(AttemptId attempt, std::string_view events, std::size_t count) = 0;
         // Asked right before its first byte is written, with the time that its server is told. It is dropped
         // where that is denied.
-        virtual Denial may_write(LaunchId launch, Span told) = 0;
+        virtual Denial may_write(AttemptId attempt, Span told) = 0;
         // A part of its answer has come, which need not be an event.
-        virtual void answer_began(LaunchId launch) = 0;
+        virtual void answer_began(AttemptId attempt) = 0;
         virtual void release_answered(const std::string& id, const HoldLedger::ReleaseResult& result) = 0;
         virtual void release_given_up(const std::string& id, const HoldLedger::ReleaseResult& result) = 0;
         virtual SendGuard& guard() = 0;
@@ -54,7 +54,7 @@
     void change(Span idle) { bounds_.idle = idle; }
     // Known from now on at this address; another one, or another start, parts with the connections so far.
     void learn(ServerIndex server, const std::string& address, Instant born);
-    // Nothing new is to be sent to it: launches that wait for a connection there have never been sent.
+    // Nothing new is to be sent to it: attempts that wait for a connection there have never been sent.
     void shun(ServerIndex server);
     void gone(ServerIndex server);
     // Whether nothing is out or owed there, so that its index may name another.
@@ -69,12 +69,12 @@
         Instant until;
         bool reading = false;
     };
-    void send(ServerIndex server, LaunchId launch, Call call);
-    void call_off(LaunchId launch);
+    void send(ServerIndex server, AttemptId attempt, Call call);
+    void call_off(AttemptId attempt);
     // True, and the owner is not told of its end: its last byte was not written yet.
-    bool unsend(LaunchId launch);
+    bool unsend(AttemptId attempt);
     // The answer's events wait while this is so.
-    void hold_back(LaunchId launch, bool hold);
+    void hold_back(AttemptId attempt, bool hold);
     // Told to the server that may hold something of the query; where that can't be reached, to another one,
     // as each lets go at all of them.
     void release(const ReleaseOrder& order) { releases_.order(order); }
@@ -84,7 +84,7 @@
     const Releases::Counts& release_counts() const { return releases_.counts(); }
 
     std::size_t size() const { return connections_.size(); }
-    std::size_t launches() const { return out_.size(); }
+    std::size_t attempts() const { return out_.size(); }
     struct Counts {
         std::uint64_t made = 0, reused = 0, not_made = 0, broken = 0, spoilt = 0;
     };
@@ -120,7 +120,7 @@
         closed_here,  // the same, and its server has yet to learn that the connection is closed
     };
     void lost(Connection& connection, Loss loss, const std::string& what);
-    void not_awaited(LaunchId launch);
+    void not_awaited(AttemptId attempt);
     void rest(Connection& connection);
     enum class ReleaseEnd {
         acknowledged,
@@ -156,8 +156,8 @@
     std::list<ServerIndex> heard_order_;    // the server heard from last comes first
     std::list<Connection*> resting_order_;  // the connection that has rested for longest comes first
     std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
-    std::unordered_map<LaunchId, Connection*> out_;
-    std::unordered_set<LaunchId> not_awaited_;  // never sent, and their owner is yet to be told
+    std::unordered_map<AttemptId, Connection*> out_;
+    std::unordered_set<AttemptId> not_awaited_;  // never sent, and their owner is yet to be told
     std::unordered_map<ReleaseCallId, Connection*> release_calls_;
     ReleaseCallId next_release_call_ = 1;
     Releases releases_;
--- a/src/platform/answers.h
+++ b/src/platform/answers.h
@@ -1,4 +1,4 @@
-// What model servers answer, in our words: how a launch has ended, and the events of a stream. Free of I/O.
+// What model servers answer, in our words: how an attempt has ended, and the events of a stream. Free of I/O.
 #pragma once
 
 #include <string>
@@ -9,7 +9,7 @@
 
 namespace copperfront::platform {
 
-// Whether this head may begin a stream: 200, of events, in chunks. Anything else tells how the launch ended
+// Whether this head may begin a stream: 200, of events, in chunks. Anything else tells how the attempt ended
 // once its body is there.
 bool begins_stream(const http::Head& head);
 
--- a/src/platform/settings.cpp
+++ b/src/platform/settings.cpp
@@ -61,7 +61,7 @@
     t.cancel = flag(limits, "cancel");
     t.probes = flag(limits, "probes");
     t.peers = flag(limits, "peers");
-    t.max_launches = static_cast<std::uint32_t>(std::max(1.0, number_or(limits, "max-attempts", 1)));
+    t.max_attempts = static_cast<std::uint32_t>(std::max(1.0, number_or(limits, "max-attempts", 1)));
     if (flag(limits, "retry-after")) t.max_stay_away = span_or(limits, "max-retry-after-ms", 0);
     t.probe_fee = number_or(object_or_empty(env, "fees"), "probe", 0);
     t.writers_read = flag(info, "writers-read");
--- a/src/rpc/wire.cpp
+++ b/src/rpc/wire.cpp
@@ -300,7 +300,7 @@
     Outcome o;
     o.report = read_report(answer.body);
     if (answer.sort == Sort::result) {
-        // An answer that lacks what it must hold is no answer: the launch may have run, or not.
+        // An answer that lacks what it must hold is no answer: the attempt may have run, or not.
         if (!answer.body.is_object() || number_at(answer.body, reading ? "kept" : "tokens", -1) < 0) return o;
         o.ending = reading ? Ending::read : Ending::settled;
         o.kept_tokens = std::max(0.0, number_at(answer.body, "kept"));
--- a/src/rpc/wire.h
+++ b/src/rpc/wire.h
@@ -84,7 +84,7 @@
 std::string release_line(std::string_view state);
 std::string cancelled_line(const Id& id, std::string_view why);
 
-// How a launch ended, by what its engine answered.
+// How an attempt ended, by what its engine answered.
 Outcome read_outcome(const Message& answer, bool reading);
 std::string read_result_line(const Id& id, double kept, const LoadReport& report);
 std::string write_result_line(const Id& id, double tokens, double kept, const LoadReport& report);
--- a/src/soak/fleet.h
+++ b/src/soak/fleet.h
@@ -121,7 +121,7 @@
     std::unique_ptr<standin::Platform> platform_;
     std::vector<std::unique_ptr<Timer>> timers_;
     bool stopping_ = false;
-    Instant silent_until_;  // discovery
+    Instant silent_until_;     // discovery
     bool cold_start_ = false;  // the list tells all servers as started just now
     day::Processes processes_;
 };
--- a/src/terms/terms_file.cpp
+++ b/src/terms/terms_file.cpp
@@ -228,7 +228,7 @@
     span("whole", l.whole);
     span("retry-window", l.retry_window);
     span("stay-away", l.stay_away);
-    whole("most-launches", l.most_launches);
+    whole("most-launches", l.most_attempts);
     whole("after-unreachable", l.most_after[static_cast<int>(Cause::unreachable)]);
     whole("after-full", l.most_after[static_cast<int>(Cause::full)]);
     whole("after-failed", l.most_after[static_cast<int>(Cause::failed)]);
@@ -421,9 +421,9 @@
         if (l.hand_over > terms_.core.release_within)
             refuse("hand-over", "rule 5: longer than rules / release-within, a state would lie pinned");
         if (l.whole.us > 0 && l.whole < l.first_token) refuse("whole", "shorter than first-token alone");
-        if (l.most_launches < kAnyNumber && l.most_launches > terms_.core.max_launches)
+        if (l.most_attempts < kAnyNumber && l.most_attempts > terms_.core.max_attempts)
             refuse("most-launches",
-                   "more than rules / most-launches, " + std::to_string(terms_.core.max_launches));
+                   "more than rules / most-launches, " + std::to_string(terms_.core.max_attempts));
         if (effectful)
             for (const char* key : {"after-failed", "after-silent"})
                 for (const auto& [name, route, value] : r.from)
@@ -554,12 +554,12 @@
     t.core.tip_multiple = rules.number("tip-multiple");
     t.core.fall = rules.span("fall");
     t.core.warm_within = rules.span("warm-within");
-    t.core.max_launches = static_cast<std::uint32_t>(rules.number("most-launches"));
+    t.core.max_attempts = static_cast<std::uint32_t>(rules.number("most-launches"));
     t.drain_grace = rules.span("drain-grace");
     t.answer_slack = rules.span("answer-slack");
     if (t.core.quantum * 4 > t.core.release_within)
         wrong(fleet, "quantum", "rule 5: must be under a quarter of rules / release-within");
-    if (t.core.max_launches < 2)
+    if (t.core.max_attempts < 2)
         wrong(rules, "most-launches", "a query needs two launches, one to be read and one to be written");
 
     const Sheet& allow = only(sheets, "allow");
--- a/src/trace/rows.h
+++ b/src/trace/rows.h
@@ -75,7 +75,7 @@
 
 // One decision, or what became of one.
 namespace decision_column {
-enum : std::size_t { at, origin, query, what, server, launch, why, ending, took, limit, seen, loads, of };
+enum : std::size_t { at, origin, query, what, server, attempt, why, ending, took, limit, seen, loads, of };
 }
 enum class Deed : std::uint8_t {
     held,
--- a/src/trace/story.cpp
+++ b/src/trace/story.cpp
@@ -58,24 +58,24 @@
         case Deed::write: {
             const bool reading = deed == Deed::read;
             return with_reason(std::string(reading ? "read" : "write") + " at " + at_server + ", launch " +
-                                   std::to_string(d[launch]) + ", given " + ms(d[limit]),
+                                   std::to_string(d[attempt]) + ", given " + ms(d[limit]),
                                reason) +
                    comparison(d, pool, reading);
         }
         case Deed::over:
-            return with_reason("launch " + std::to_string(d[launch]) + " at " + at_server +
+            return with_reason("launch " + std::to_string(d[attempt]) + " at " + at_server +
                                    " is over after " + ms(d[took]) + ", " + ending_text(d[ending]),
                                reason);
         case Deed::first_token:
             return "first token from " + at_server + ", " + ms(d[took]) + " after launch " +
-                   std::to_string(d[launch]);
+                   std::to_string(d[attempt]);
         case Deed::copy:
             return with_reason("a second copy goes out", reason);
         case Deed::called_off:
-            return with_reason("launch " + std::to_string(d[launch]) + " at " + at_server + " is called off",
+            return with_reason("launch " + std::to_string(d[attempt]) + " at " + at_server + " is called off",
                                reason);
         case Deed::released:
-            return "what launch " + std::to_string(d[launch]) + " left at " + at_server + " is let go";
+            return "what launch " + std::to_string(d[attempt]) + " left at " + at_server + " is let go";
         case Deed::declined:
         case Deed::given_up:
         case Deed::limited:
--- a/src/trace/summary.h
+++ b/src/trace/summary.h
@@ -1,4 +1,4 @@
-// What a trace comes to, by one key or another: outcomes, quantiles, launches and waste. Two summaries of
+// What a trace comes to, by one key or another: outcomes, quantiles, attempts and waste. Two summaries of
 // parts are added up to that of the whole without any loss. Free of I/O.
 #pragma once
 
--- a/src/watching/watching.cpp
+++ b/src/watching/watching.cpp
@@ -16,7 +16,7 @@
     rules_.query_arrived(query, facts);
 }
 
-void Watching::launch(QueryIndex query, ServerIndex server, const AttemptLimits&) {
+void Watching::start_attempt(QueryIndex query, ServerIndex server, const AttemptLimits&) {
     Seen& s = seen(query);
     s.out = true;
     s.called_off = false;
@@ -25,14 +25,14 @@
 
 void Watching::retract(QueryIndex query, std::uint32_t) { seen(query).called_off = true; }
 
-void Watching::launched(QueryIndex query, ServerIndex server, bool reading) {
+void Watching::started(QueryIndex query, ServerIndex server, bool reading) {
     Seen& s = seen(query);
     s.made = server;
     s.reading = reading;
     s.compared = false;
 }
 
-// Once for each launch that was made, when it first tells something: the other rules may act a little later
+// Once for each attempt that was made, when it first tells something: the other rules may act a little later
 // than these.
 void Watching::compare(Seen& s) {
     if (s.compared || s.over) return;
@@ -53,13 +53,13 @@
     if (s.out && !s.over) rules_.stream_began(query, took);
 }
 
-void Watching::launch_ended(QueryIndex query, ServerIndex server, const Outcome& outcome) {
+void Watching::attempt_ended(QueryIndex query, ServerIndex server, const Outcome& outcome) {
     Seen& s = seen(query);
     if (!s.known) return;
     compare(s);
     if (s.called_off && !s.over && outcome.ending != Ending::retracted) ++differences_.called_off;
     s.out = s.called_off = false;
-    rules_.launch_ended(query, server, outcome);
+    rules_.attempt_ended(query, server, outcome);
 }
 
 void Watching::query_ended(QueryIndex query, bool settled) {
@@ -73,7 +73,7 @@
     rules_.query_left(query);
 }
 
-// Against a launch of the other rules that was never made, so that no end of it will come.
+// Against an attempt of the other rules that was never made, so that no end of it will come.
 void Watching::settle_books(QueryIndex query) {
     Seen& s = seen(query);
     if (!s.out) return;
@@ -81,7 +81,7 @@
     Outcome outcome;
     outcome.ending = Ending::unsent;
     outcome.over = true;
-    rules_.launch_ended(query, s.would, outcome);
+    rules_.attempt_ended(query, s.would, outcome);
 }
 
 void Watching::query_closed(QueryIndex query) {
--- a/src/wirehost/main.cpp
+++ b/src/wirehost/main.cpp
@@ -69,15 +69,15 @@
     }
 
     Instant now() const override { return clock_; }
-    void launch(QueryIndex query, ServerIndex server, const AttemptLimits& limits) override {
+    void start_attempt(QueryIndex query, ServerIndex server, const AttemptLimits& limits) override {
         Call& call = calls_[query];
         ++call.out;
         say("SubmitTo", {{"call", call.id},
                          {"server", servers_.name(server)},
                          {"limit-ms", limits.answer.us > 0 ? wire_ms(limits.answer) : -1.0}});
     }
-    void retract(QueryIndex query, std::uint32_t launch) override {
-        say("Retract", {{"call", calls_[query].id}, {"attempt", launch}});
+    void retract(QueryIndex query, std::uint32_t attempt) override {
+        say("Retract", {{"call", calls_[query].id}, {"attempt", attempt}});
     }
     void decline(QueryIndex query, Span stay_away) override {
         ended(query);
@@ -90,7 +90,7 @@
         say("Lose", {{"call", calls_[query].id}});
     }
     void release(QueryIndex query) override { say("Release", {{"call", calls_[query].id}}); }
-    bool may_launch_again(QueryIndex, Ending) override { return true; }
+    bool may_attempt_again(QueryIndex, Ending) override { return true; }
     void probe(ServerIndex server) override { say("SoundOut", {{"server", servers_.name(server)}}); }
     void tell_peers(std::string_view what) override { say("Publish", {{"dst", "all"}, {"data", what}}); }
     void subscribe() override { say("Listen", {{"on", true}}); }
@@ -227,7 +227,7 @@
         --calls_[i].out;
         if (o.over) calls_[i].ended = true;
         if (calls_[i].ended) ended_.push_back(i);
-        rules_->launch_ended(i, server, o);
+        rules_->attempt_ended(i, server, o);
     }
 
     void wake(const Json& event) {
--- a/tests/audit/audit_test.cpp
+++ b/tests/audit/audit_test.cpp
@@ -254,7 +254,7 @@
     const auto push = [](Files& f, bool told) {
         record(f, "r", "start")["born_ms"] = 77;
         if (told) record(f, "roster", "told")["servers"][0]["bornMs"] = 77;
-        // Capacity 1000 a second, half of it at first: 2 x about 0.625 x 1000 x 1 s = 1250, and 4 launches of
+        // Capacity 1000 a second, half of it at first: 2 x about 0.625 x 1000 x 1 s = 1250, and 4 attempts of
         // chance.
         for (int n = 0; n < 17; ++n)
             insert(f, "r",
@@ -289,8 +289,8 @@
     assert(audited(f).clean());
 }
 
-// Against taking a repeat for the try before it: the first is declined without a launch, and the second,
-// which the same gateway launches soon after, is settled. A launch of the first's own that is declined is
+// Against taking a repeat for the try before it: the first is declined without an attempt, and the second,
+// which the same gateway attempts soon after, is settled. An attempt of the first's own that is declined is
 // still found out.
 void a_repeat_is_not_the_try_before_it() {
     Files f = clean_day();
--- a/tests/core/cold_fleet_test.cpp
+++ b/tests/core/cold_fleet_test.cpp
@@ -67,7 +67,7 @@
         std::unique_ptr<FakeHost> host;
         std::unique_ptr<Rules> rules;
         QueryIndex next = 0;
-        std::size_t seen = 0;  // launches that have been taken up
+        std::size_t seen = 0;  // attempts that have been taken up
         std::uint32_t life = 0;
     };
     struct Due {
@@ -104,8 +104,8 @@
 
     void take_up(std::size_t g) {
         Gate& gate = gates_[g];
-        for (; gate.seen < gate.host->launches.size(); ++gate.seen) {
-            const Launched& l = gate.host->launches[gate.seen];
+        for (; gate.seen < gate.host->attempts.size(); ++gate.seen) {
+            const StartedAttempt& l = gate.host->attempts[gate.seen];
             if (l.server == kCold) sent_cold_.push_back(now_);
             due_.push({now_ + ms(l.server < kServers / 2 ? 60 : 200), g, gate.life, l.query, l.server});
         }
@@ -128,7 +128,7 @@
                 o.ending = d.server < kServers / 2 ? Ending::read : Ending::settled;
                 if (o.ending == Ending::settled) gate.rules->stream_began(d.query, ms(20));
                 o.over = o.ending == Ending::settled;
-                gate.rules->launch_ended(d.query, d.server, o);
+                gate.rules->attempt_ended(d.query, d.server, o);
                 take_up(d.gate);
             }
             for (int n = std::poisson_distribution<int>(rate)(chance_); n > 0; --n) {
--- a/tests/core/connection_count_test.cpp
+++ b/tests/core/connection_count_test.cpp
@@ -36,7 +36,7 @@
         story.settle(request);
         story.pass(kBetweenRequests);
     }
-    for (const Launched& attempt : story.host.launches) met.insert(attempt.server);
+    for (const StartedAttempt& attempt : story.host.attempts) met.insert(attempt.server);
     return met.size();
 }
 
--- a/tests/core/fake_host.h
+++ b/tests/core/fake_host.h
@@ -12,7 +12,7 @@
 
 namespace copperfront {
 
-struct Launched {
+struct StartedAttempt {
     QueryIndex query;
     ServerIndex server;
     Span limit;
@@ -22,7 +22,7 @@
 class FakeHost : public Host {
   public:
     Instant clock{1'000'000'000};
-    std::vector<Launched> launches;
+    std::vector<StartedAttempt> attempts;
     std::vector<QueryIndex> retracted, declined, given_up, released;
     std::vector<ServerIndex> probed;
     std::vector<std::string> notes;  // to peers
@@ -32,8 +32,8 @@
     bool budget_spent = false;
 
     Instant now() const override { return clock; }
-    void launch(QueryIndex q, ServerIndex s, const AttemptLimits& limits) override {
-        launches.push_back({q, s, limits.answer, limits.write});
+    void start_attempt(QueryIndex q, ServerIndex s, const AttemptLimits& limits) override {
+        attempts.push_back({q, s, limits.answer, limits.write});
     }
     void retract(QueryIndex q, std::uint32_t) override { retracted.push_back(q); }
     void decline(QueryIndex q, Span span) override {
@@ -42,7 +42,7 @@
     }
     void give_up(QueryIndex q) override { given_up.push_back(q); }
     void release(QueryIndex q) override { released.push_back(q); }
-    bool may_launch_again(QueryIndex, Ending) override { return !budget_spent; }
+    bool may_attempt_again(QueryIndex, Ending) override { return !budget_spent; }
     void probe(ServerIndex s) override { probed.push_back(s); }
     void subscribe() override { ++subscribed; }
     void tell_peers(std::string_view note) override { notes.emplace_back(note); }
@@ -71,7 +71,7 @@
         terms.categories = {c};
         terms.kinds = {{Role::reader, 200000}, {Role::writer, 100000}, {Role::mixed, 100000}};
         terms.cancel = true;
-        terms.max_launches = 6;
+        terms.max_attempts = 6;
         terms.max_stay_away = ms(1000);
         terms.quantum = ms(4);
         terms.release_within = ms(1000);
@@ -98,15 +98,15 @@
         rules->query_arrived(next, a);
         return next++;
     }
-    const Launched& last() const { return host.launches.back(); }
-    std::size_t sent() const { return host.launches.size(); }
+    const StartedAttempt& last() const { return host.attempts.back(); }
+    std::size_t sent() const { return host.attempts.size(); }
     void ended(QueryIndex q, Ending ending, ServerIndex server, bool no_state = false, bool over = false) {
         Outcome o;
         o.ending = ending;
         o.took = ms(20);
         o.no_state = no_state;
         o.over = over;
-        rules->launch_ended(q, server, o);
+        rules->attempt_ended(q, server, o);
     }
     void ended(QueryIndex q, Ending ending) { ended(q, ending, last().server); }
     QueryIndex read_one(double prompt = 1000, std::uint64_t session = 0) {
--- a/tests/core/kept_servers_test.cpp
+++ b/tests/core/kept_servers_test.cpp
@@ -46,18 +46,18 @@
         if (what < 4) return arrive();
         if (what == 4) return change_list();
         if (what == 5) return report();
-        if (kept.host.launches.empty()) return;
-        end_attempt(static_cast<std::size_t>(draw(0, static_cast<int>(kept.host.launches.size()) - 1)));
+        if (kept.host.attempts.empty()) return;
+        end_attempt(static_cast<std::size_t>(draw(0, static_cast<int>(kept.host.attempts.size()) - 1)));
     }
 
     // What both have done so far.
     bool agree() const {
         const FakeHost &a = rules_[0].host, &b = rules_[1].host;
-        const auto same = [](const Launched& x, const Launched& y) {
+        const auto same = [](const StartedAttempt& x, const StartedAttempt& y) {
             return x.query == y.query && x.server == y.server && x.limit == y.limit &&
                    x.write_within == y.write_within;
         };
-        return std::equal(a.launches.begin(), a.launches.end(), b.launches.begin(), b.launches.end(), same) &&
+        return std::equal(a.attempts.begin(), a.attempts.end(), b.attempts.begin(), b.attempts.end(), same) &&
                a.declined == b.declined && a.given_up == b.given_up && a.released == b.released &&
                a.retracted == b.retracted;
     }
@@ -65,7 +65,7 @@
         std::string text;
         for (const Side& side : rules_) {
             text += "\n  clock " + std::to_string(side.host.clock.us) + " launches";
-            for (const Launched& l : side.host.launches)
+            for (const StartedAttempt& l : side.host.attempts)
                 text += " " + std::to_string(l.query) + ">" + std::to_string(l.server);
             text += "; declined " + std::to_string(side.host.declined.size()) + ", given up " +
                     std::to_string(side.host.given_up.size()) + ", released " +
@@ -74,7 +74,7 @@
         }
         return text;
     }
-    std::size_t launches() const { return rules_[0].host.launches.size(); }
+    std::size_t attempts() const { return rules_[0].host.attempts.size(); }
 
   private:
     struct Side {
@@ -123,7 +123,7 @@
     }
     // Each attempt once.
     void end_attempt(std::size_t n) {
-        const Launched attempt = rules_[0].host.launches[n];
+        const StartedAttempt attempt = rules_[0].host.attempts[n];
         if (!over_.insert({n, true}).second) return;
         Outcome outcome;
         const Role role = Story().terms.kinds[list_[attempt.server].kind].role;
@@ -136,7 +136,7 @@
         outcome.no_state = outcome.ending == Ending::full && draw(0, 1) == 0;
         for (Side& side : rules_) {
             if (outcome.ending == Ending::settled) side.rules->stream_began(attempt.query, outcome.took);
-            side.rules->launch_ended(attempt.query, attempt.server, outcome);
+            side.rules->attempt_ended(attempt.query, attempt.server, outcome);
         }
     }
 
@@ -148,16 +148,16 @@
 };
 
 TEST(KeptServers, LeadToTheChoicesOfAScanOfAllServers) {
-    std::size_t launches = 0;
+    std::size_t attempts = 0;
     for (std::uint32_t seed = 1; seed <= kCases; ++seed) {
         TwoRules both(seed);
         for (int event = 0; event < kEventsOfCase; ++event) {
             both.play_event();
             ASSERT_TRUE(both.agree()) << "seed " << seed << ", event " << event << both.text();
         }
-        launches += both.launches();
+        attempts += both.attempts();
     }
-    EXPECT_GT(launches, std::size_t{kCases}) << "choices that were compared";
+    EXPECT_GT(attempts, std::size_t{kCases}) << "choices that were compared";
 }
 
 }  // namespace
--- a/tests/core/repeats_test.cpp
+++ b/tests/core/repeats_test.cpp
@@ -52,7 +52,7 @@
     for (const bool known : {false, true}) {
         Story story(Effect::receipted, Group::all);
         story.terms.categories[0].window = known ? ms(60000) : ms(4000);
-        story.terms.max_launches = 2;
+        story.terms.max_attempts = 2;
         story.start();
         const QueryIndex request = story.read_one();
         story.ended(request, Ending::error);
@@ -64,7 +64,7 @@
 // Without an attempt left its state is of no use: the final answer does not wait for a server.
 TEST(LastAttempt, EndsItsRequestAtOnce) {
     Story story;
-    story.terms.max_launches = 2;
+    story.terms.max_attempts = 2;
     story.start();
     const QueryIndex request = story.read_one();
     story.ended(request, Ending::unreachable);
--- a/tests/core/rules_test.cpp
+++ b/tests/core/rules_test.cpp
@@ -203,7 +203,7 @@
     u.ended(b, Ending::full, u.last().server, true);
     assert(u.host.declined.empty());
     u.pass(ms(10));
-    assert(u.last().query == b && is_reader(u.last().server));  // read anew, as a further launch
+    assert(u.last().query == b && is_reader(u.last().server));  // read anew, as a further attempt
     const QueryIndex c = u.arrive();
     assert(u.last().query == c);  // and no writer counts as full
 }
@@ -223,7 +223,7 @@
 
 void no_room_lets_go_of_the_state_in_time() {
     Story t;
-    t.terms.max_launches = 3;
+    t.terms.max_attempts = 3;
     t.start();
     const QueryIndex a = t.read_one();
     t.ended(a, Ending::full, t.last().server);
@@ -304,7 +304,7 @@
         Outcome o;
         o.ending = Ending::broken;
         o.stale = true;
-        t.rules->launch_ended(q, t.last().server, o);
+        t.rules->attempt_ended(q, t.last().server, o);
     };
     const QueryIndex q = t.arrive();
     const ServerIndex reader = t.last().server;
@@ -363,7 +363,7 @@
     assert(std::find(t.host.declined.begin(), t.host.declined.end(), b) != t.host.declined.end());
 }
 
-void late_launch_without_an_answer_is_answered() {
+void late_attempt_without_an_answer_is_answered() {
     Story t;
     t.start();
     const QueryIndex a = t.arrive(1000, 0, ms(500));
@@ -459,7 +459,7 @@
     assert(bad >= 2 && bad <= 5);
     t.pass(ms(9000));
     const QueryIndex a = t.arrive();
-    assert(t.last().server == 0);  // one launch tries it
+    assert(t.last().server == 0);  // one attempt tries it
     t.arrive();
     assert(t.last().server == 1);
     t.ended(a, Ending::read, 0);
@@ -473,7 +473,7 @@
         Outcome slow;
         slow.ending = Ending::read;
         slow.took = ms(900);
-        t.rules->launch_ended(q, t.last().server, slow);
+        t.rules->attempt_ended(q, t.last().server, slow);
         t.settle(q);
         t.list_again(s, s == 0 ? Standing::draining : Standing::ready);
     }
@@ -485,7 +485,7 @@
     assert(t.sent() == before + 1);
 }
 
-void silent_server_loses_its_launch_to_another() {
+void silent_server_loses_its_attempt_to_another() {
     Story t;
     t.start();
     for (int i = 0; i < 25; ++i) t.settle(t.read_one());
@@ -496,7 +496,7 @@
     t.pass(ms(200));
     assert(t.host.retracted.size() == 1 && t.host.retracted[0] == a);
     t.ended(a, Ending::retracted, silent);
-    t.pass(ms(1000));  // past the goal, yet a launched query is of use until its hard stop
+    t.pass(ms(1000));  // past the goal, yet an started query is of use until its hard stop
     assert(t.last().query == a && is_reader(t.last().server));
     t.ended(a, Ending::read);
     assert(is_writer(t.last().server) && t.host.declined.empty());
@@ -586,13 +586,13 @@
     const ServerIndex writer = t.last().server;
     t.ended(a, Ending::error);
     t.pass(ms(900));
-    for (const Launched& l : t.host.launches)
+    for (const StartedAttempt& l : t.host.attempts)
         if (is_writer(l.server)) assert(l.server == writer);
     t.pass(ms(6000));
     assert(t.host.declined.empty() && t.host.given_up.size() == 1);
 }
 
-void further_launches_wait_behind_first_ones() {
+void further_attempts_wait_behind_first_ones() {
     Story t;
     t.terms.reports_memory = true;
     t.start();
@@ -605,7 +605,7 @@
     const QueryIndex b = t.arrive();
     assert(t.sent() == 1);
     t.report(2, 0.5);
-    assert(t.sent() == 3 && t.host.launches[1].query == b && t.host.launches[2].query == a);
+    assert(t.sent() == 3 && t.host.attempts[1].query == b && t.host.attempts[2].query == a);
 }
 
 void mixed_server_reads_by_itself_where_there_is_no_reader() {
@@ -639,8 +639,8 @@
     assert(t.sent() == 6 && t.host.declined.empty());
 }
 
-// Against a failure that all who retry multiply: without a further launch left, the query ends and lets go.
-void query_without_a_further_launch_left_ends_at_once() {
+// Against a failure that all who retry multiply: without a further attempt left, the query ends and lets go.
+void query_without_a_further_attempt_left_ends_at_once() {
     Story t;
     t.start();
     const QueryIndex a = t.read_one();
@@ -662,7 +662,7 @@
     a.budget = ms(5000);
     a.read_within = ms(300);
     a.first_token_within = ms(400);
-    a.most_launches = 2;
+    a.most_attempts = 2;
     a.avoid = 0;
     t.rules->query_arrived(t.next, a);
     assert(t.last().server == 1 && t.last().limit == ms(300));
@@ -982,25 +982,25 @@
     query_that_left_lets_go_of_what_its_read_brings();
     query_that_left_with_a_waiting_state_lets_go_at_once();
     held_query_is_answered_before_its_hard_stop();
-    late_launch_without_an_answer_is_answered();
+    late_attempt_without_an_answer_is_answered();
     draining_servers_get_nothing_new_but_their_states_are_fetched();
     list_left_out_is_gone();
     cold_server_gets_no_more_than_this_gateways_part();
     restart_with_a_stale_list_keeps_nothing_of_the_old_process();
     failing_server_is_shut_out_and_tried_again();
     jammed_readers_hold_what_would_be_late();
-    silent_server_loses_its_launch_to_another();
+    silent_server_loses_its_attempt_to_another();
     busy_server_is_not_taken_for_silent();
     dead_zone_does_not_keep_a_failing_server_in();
     late_days_decline_what_is_over_a_groups_share();
     effectful_query_never_runs_twice();
     effectful_query_at_its_hard_stop_is_given_up();
     receipted_query_stays_in_its_group_and_window();
-    further_launches_wait_behind_first_ones();
+    further_attempts_wait_behind_first_ones();
     mixed_server_reads_by_itself_where_there_is_no_reader();
     list_that_must_be_asked_for_is_asked_for_again();
     empty_prompts_are_queries_like_others();
-    query_without_a_further_launch_left_ends_at_once();
+    query_without_a_further_attempt_left_ends_at_once();
     query_keeps_to_limits_of_its_own();
     effectful_query_with_a_read_out_at_its_hard_stop_is_given_up();
     mixed_server_writes_while_readers_are_in_time();
--- a/tests/day/sabotaged_gateway.cpp
+++ b/tests/day/sabotaged_gateway.cpp
@@ -17,22 +17,22 @@
 
     Instant now() const override { return real_.now(); }
     void wake_at(Instant at) override { real_.wake_at(kind_ == "late" ? at + Span{600000} : at); }
-    void send_read(LaunchId launch, ServerIndex to, QueryIndex query, Span limit) override {
+    void send_read(AttemptId attempt, ServerIndex to, QueryIndex query, Span limit) override {
         // Pushed, but each push is called off at once, so that no state is left behind.
         for (int n = 0; kind_ == "cold" && cold_ != kNone && n < 6; ++n) {
-            const LaunchId push = (LaunchId{1} << 40) + ++pushes_;
+            const AttemptId push = (AttemptId{1} << 40) + ++pushes_;
             real_.send_read(push, cold_, query, limit);
             real_.call_off(push, cold_);
         }
-        real_.send_read(launch, to, query, limit);
+        real_.send_read(attempt, to, query, limit);
     }
-    void send_write(LaunchId launch, ServerIndex to, QueryIndex query, LaunchId state, ServerIndex from,
+    void send_write(AttemptId attempt, ServerIndex to, QueryIndex query, AttemptId state, ServerIndex from,
                     Span limit) override {
-        real_.send_write(launch, to, query, state, from, limit);
+        real_.send_write(attempt, to, query, state, from, limit);
     }
-    void call_off(LaunchId launch, ServerIndex at) override { real_.call_off(launch, at); }
-    bool unsend(LaunchId launch, ServerIndex at) override { return real_.unsend(launch, at); }
-    void release(ServerIndex at, LaunchId state) override {
+    void call_off(AttemptId attempt, ServerIndex at) override { real_.call_off(attempt, at); }
+    bool unsend(AttemptId attempt, ServerIndex at) override { return real_.unsend(attempt, at); }
+    void release(ServerIndex at, AttemptId state) override {
         if (kind_ == "pinned") return;
         real_.release(at, state);
     }
--- a/tests/desk/desk_test.cpp
+++ b/tests/desk/desk_test.cpp
@@ -21,7 +21,7 @@
     t.categories[1].effect = Effect::effectful;
     t.kinds = {{Role::reader, 100000}, {Role::writer, 100000}};
     t.cancel = true;
-    t.max_launches = 4;
+    t.max_attempts = 4;
     t.quantum = ms(4);
     t.release_within = ms(1000);
     t.max_stay_away = ms(1000);
@@ -55,10 +55,10 @@
         desk.query_came(q, facts(category));
         return q;
     }
-    void answer(LaunchId launch, Ending ending) {
+    void answer(AttemptId attempt, Ending ending) {
         Outcome o;
         o.ending = ending;
-        desk.launch_ended(launch, o);
+        desk.attempt_ended(attempt, o);
     }
     void pass(Span time) {
         const Instant until = world.clock + time;
@@ -76,14 +76,14 @@
     Story s;
     const QueryIndex q = s.ask();
     assert(s.last().reading);
-    const LaunchId read = s.last().launch;
+    const AttemptId read = s.last().attempt;
     s.world.clock = s.world.clock + ms(50);
     s.answer(read, Ending::read);
     assert(!s.last().reading && s.last().state == read);
     QueryIndex whose = 99;
-    assert(s.desk.token_came(s.last().launch, whose) && whose == q);
-    assert(s.desk.token_came(s.last().launch, whose));
-    s.answer(s.last().launch, Ending::settled);
+    assert(s.desk.token_came(s.last().attempt, whose) && whose == q);
+    assert(s.desk.token_came(s.last().attempt, whose));
+    s.answer(s.last().attempt, Ending::settled);
     assert(s.world.answers[q] == std::vector<std::string>{"settled"});
     assert(s.world.released.empty());  // the writer has taken the state
     s.ask();
@@ -94,8 +94,8 @@
 void nothing_follows_the_final_answer() {
     Story s;
     const QueryIndex q = s.ask();
-    s.answer(s.last().launch, Ending::read);
-    const LaunchId write = s.last().launch;
+    s.answer(s.last().attempt, Ending::read);
+    const AttemptId write = s.last().attempt;
     QueryIndex whose = 0;
     s.desk.token_came(write, whose);
     s.answer(write, Ending::broken);
@@ -104,15 +104,15 @@
     s.answer(write, Ending::settled);
     s.pass(ms(20000));
     assert(s.world.answers[q].size() == 1);
-    assert(s.desk.open_queries() == 0 && s.desk.launches_out() == 0);
+    assert(s.desk.open_queries() == 0 && s.desk.attempts_out() == 0);
 }
 
 // Against answers whose end is lost in silence: the caller would wait for ever.
 void a_silent_stream_is_given_up() {
     Story s;
     const QueryIndex q = s.ask();
-    s.answer(s.last().launch, Ending::read);
-    const LaunchId write = s.last().launch;
+    s.answer(s.last().attempt, Ending::read);
+    const AttemptId write = s.last().attempt;
     QueryIndex whose = 0;
     s.desk.token_came(write, whose);
     s.pass(ms(5000));
@@ -121,20 +121,20 @@
     assert(s.world.answers[q].empty());
     s.pass(ms(200));
     assert(s.world.answers[q] == std::vector<std::string>{"given up: the stream broke"});
-    assert(s.world.called_off == std::vector<LaunchId>{write});
+    assert(s.world.called_off == std::vector<AttemptId>{write});
 }
 
 void a_caller_that_leaves_ends_its_stream() {
     Story s;
     const QueryIndex q = s.ask();
-    s.answer(s.last().launch, Ending::read);
-    const LaunchId write = s.last().launch;
+    s.answer(s.last().attempt, Ending::read);
+    const AttemptId write = s.last().attempt;
     QueryIndex whose = 0;
     s.desk.token_came(write, whose);
     s.desk.query_left(q);
-    assert(s.world.called_off == std::vector<LaunchId>{write});
+    assert(s.world.called_off == std::vector<AttemptId>{write});
     assert(s.world.answers[q].empty());
-    assert(s.desk.launches_out() == 0);
+    assert(s.desk.attempts_out() == 0);
 }
 
 // Against states pinned by a read whose caller left, or whose answer never came.
@@ -143,27 +143,27 @@
     const QueryIndex q = s.ask();
     const Sent read = s.last();
     s.desk.query_left(q);
-    assert(s.world.called_off == std::vector<LaunchId>{read.launch});
-    assert((s.world.released == std::vector<std::pair<ServerIndex, LaunchId>>{{read.to, read.launch}}));
+    assert(s.world.called_off == std::vector<AttemptId>{read.attempt});
+    assert((s.world.released == std::vector<std::pair<ServerIndex, AttemptId>>{{read.to, read.attempt}}));
 
     Story other;
     other.ask();
     const Sent lost = other.last();
-    other.answer(lost.launch, Ending::broken);
-    assert((other.world.released == std::vector<std::pair<ServerIndex, LaunchId>>{{lost.to, lost.launch}}));
+    other.answer(lost.attempt, Ending::broken);
+    assert((other.world.released == std::vector<std::pair<ServerIndex, AttemptId>>{{lost.to, lost.attempt}}));
 }
 
 // Against a state let go under a write that is on its way to fetch it.
-void a_state_that_a_launch_waits_for_is_kept() {
+void a_state_that_an_attempt_waits_for_is_kept() {
     Story s;
     s.ask();
-    const LaunchId read = s.last().launch;
+    const AttemptId read = s.last().attempt;
     s.answer(read, Ending::read);
     s.pass(ms(900));
     assert(s.world.released.empty());
     Outcome full;
     full.ending = Ending::full;
-    s.desk.launch_ended(s.last().launch, full);
+    s.desk.attempt_ended(s.last().attempt, full);
     assert(s.last().state == read);  // the next writer takes it
     assert(s.world.released.empty());
 }
@@ -171,22 +171,22 @@
 void an_effectful_query_is_never_sent_twice() {
     Story s;
     const QueryIndex q = s.ask(1);
-    s.answer(s.last().launch, Ending::read);
+    s.answer(s.last().attempt, Ending::read);
     const std::size_t before = s.world.sent.size();
-    s.answer(s.last().launch, Ending::broken);
+    s.answer(s.last().attempt, Ending::broken);
     s.pass(ms(10000));
     assert(s.world.sent.size() == before);
     assert(s.world.answers[q].size() == 1 && s.world.answers[q][0].rfind("given up", 0) == 0);
 }
 
-void unanswered_launches_end_by_the_hard_stop() {
+void unanswered_attempts_end_by_the_hard_stop() {
     Story s;
     const QueryIndex q = s.ask();
     s.pass(ms(5990));
     assert(s.world.answers[q].empty());
     s.pass(ms(6));
     assert(s.world.answers[q].size() == 1);
-    assert(s.desk.launches_out() == 0);
+    assert(s.desk.attempts_out() == 0);
 }
 
 void a_stop_gives_up_what_is_left() {
@@ -225,19 +225,19 @@
     assert(s.world.sent.size() == 2);
     const Sent copy = s.last();
     assert(copy.reading && copy.query == q && copy.to != slow.to);
-    s.answer(copy.launch, Ending::read);
+    s.answer(copy.attempt, Ending::read);
     QueryIndex whose = 99;
-    const LaunchId write = s.last().launch;
+    const AttemptId write = s.last().attempt;
     assert(s.desk.token_came(write, whose) && whose == q);
-    assert(s.world.called_off == std::vector<LaunchId>{slow.launch});
-    assert((s.world.released == std::vector<std::pair<ServerIndex, LaunchId>>{{slow.to, slow.launch}}));
+    assert(s.world.called_off == std::vector<AttemptId>{slow.attempt});
+    assert((s.world.released == std::vector<std::pair<ServerIndex, AttemptId>>{{slow.to, slow.attempt}}));
     assert(s.desk.token_came(write, whose) && whose == q);
     s.answer(write, Ending::settled);
     assert(s.world.answers[q] == std::vector<std::string>{"settled"});
     s.pass(ms(10000));
     s.desk.open();
     assert(s.world.answers[q].size() == 1 && s.world.closed_queries == std::vector<QueryIndex>{q});
-    assert(s.desk.open_queries() == 0 && s.desk.launches_out() == 0);
+    assert(s.desk.open_queries() == 0 && s.desk.attempts_out() == 0);
 }
 
 void the_first_may_still_win() {
@@ -246,14 +246,14 @@
     const Sent slow = s.last();
     s.pass(ms(201));
     const Sent copy = s.last();
-    s.answer(slow.launch, Ending::read);
+    s.answer(slow.attempt, Ending::read);
     QueryIndex whose = 99;
-    assert(s.desk.token_came(s.last().launch, whose) && whose == q);
-    assert(s.world.called_off == std::vector<LaunchId>{copy.launch});
-    s.answer(s.last().launch, Ending::settled);
+    assert(s.desk.token_came(s.last().attempt, whose) && whose == q);
+    assert(s.world.called_off == std::vector<AttemptId>{copy.attempt});
+    s.answer(s.last().attempt, Ending::settled);
     assert(s.world.answers[q] == std::vector<std::string>{"settled"});
     s.pass(ms(10000));
-    assert(s.world.answers[q].size() == 1 && s.desk.launches_out() == 0);
+    assert(s.world.answers[q].size() == 1 && s.desk.attempts_out() == 0);
 }
 
 // One of the two may end badly; only when both have is there an answer, and then one.
@@ -263,17 +263,17 @@
     s.pass(ms(201));
     assert(s.world.sent.size() == 2);
     s.pass(ms(6000));
-    assert(s.world.answers[q].size() == 1 && s.desk.open_queries() == 0 && s.desk.launches_out() == 0);
+    assert(s.world.answers[q].size() == 1 && s.desk.open_queries() == 0 && s.desk.attempts_out() == 0);
 
     CopyStory left;
     const QueryIndex gone = left.ask_copied();
     left.pass(ms(201));
     left.desk.query_left(gone);
     assert(left.world.answers[gone].empty() && left.world.called_off.size() == 2 &&
-           left.desk.launches_out() == 0);
+           left.desk.attempts_out() == 0);
 }
 
-// Rule 2: what is not pure has never two launches out.
+// Rule 2: what is not pure has never two attempts out.
 void only_pure_queries_are_copied_and_only_within_the_budget() {
     CopyStory s;
     s.ask_copied(1);
@@ -287,9 +287,9 @@
     assert(few.desk.tally().copies >= 1 && few.desk.tally().copies <= 3);
 }
 
-// Against a dear or dead connection that eats the time for the whole read: a launch that was never sent has
+// Against a dear or dead connection that eats the time for the whole read: an attempt that was never sent has
 // not run, so even an effectful query goes elsewhere, and what was sent is left alone.
-void a_launch_that_waits_too_long_for_its_connection_goes_elsewhere() {
+void an_attempt_that_waits_too_long_for_its_connection_goes_elsewhere() {
     for (std::uint16_t category = 0; category < 2; ++category) {
         Story s;
         RouteLimits limits;
@@ -306,11 +306,11 @@
         assert(s.world.called_off.empty() && s.desk.tally().not_connected == 1);
         s.pass(ms(200));  // this one was sent
         assert(s.world.sent.size() == 2);
-        s.answer(s.last().launch, Ending::read);
+        s.answer(s.last().attempt, Ending::read);
         const Sent write = s.last();
         s.pass(ms(51));
-        assert(s.last().launch != write.launch && !s.last().reading && s.last().to != write.to);
-        s.answer(s.last().launch, Ending::settled);
+        assert(s.last().attempt != write.attempt && !s.last().reading && s.last().to != write.to);
+        s.answer(s.last().attempt, Ending::settled);
         assert(s.world.answers[q] == std::vector<std::string>{"settled"});
         assert(s.desk.tally().not_connected == 2);
     }
@@ -330,11 +330,11 @@
         Outcome read;
         read.ending = Ending::read;
         read.report.memory_share = told_by_reader;
-        s.desk.launch_ended(s.last().launch, read);
+        s.desk.attempt_ended(s.last().attempt, read);
         Outcome settled;
         settled.ending = Ending::settled;
         settled.report.memory_share = told_by_writer;
-        s.desk.launch_ended(s.last().launch, settled);
+        s.desk.attempt_ended(s.last().attempt, settled);
     };
     write_one(0.9, 0);  // a reader's texts are nobody's share
     assert(s.desk.part() == 0.1);
@@ -343,7 +343,7 @@
     // Two that this gateway has there: 2,000 of the 4,000 tokens that it reports.
     for (int n = 0; n < 40; ++n) {
         s.ask();
-        s.answer(s.last().launch, Ending::read);
+        s.answer(s.last().attempt, Ending::read);
     }
     for (int n = 0; n < 200; ++n) {
         s.pass(ms(1));
@@ -370,26 +370,26 @@
     const QueryIndex fresh = s.ask_copied(2);
     s.pass(ms(1000));
     assert(s.world.sent.size() == 5);
-    const LaunchId only = s.last().launch, copy = s.world.sent[3].launch, slow = s.world.sent[0].launch;
-    for (const LaunchId read : {slow, copy, only}) s.answer(read, Ending::read);
+    const AttemptId only = s.last().attempt, copy = s.world.sent[3].attempt, slow = s.world.sent[0].attempt;
+    for (const AttemptId read : {slow, copy, only}) s.answer(read, Ending::read);
     QueryIndex whose = 99;
     std::map<QueryIndex, int> writes;
     for (std::size_t n = 5; n < s.world.sent.size(); ++n) {
         ++writes[s.world.sent[n].query];
-        s.desk.token_came(s.world.sent[n].launch, whose);
-        s.answer(s.world.sent[n].launch, Ending::settled);
+        s.desk.token_came(s.world.sent[n].attempt, whose);
+        s.answer(s.world.sent[n].attempt, Ending::settled);
     }
     assert(writes[fresh] == 1);
     s.pass(ms(10000));
     for (const QueryIndex q : {early, later, fresh})
         assert(s.world.answers[q] == std::vector<std::string>{"settled"});
-    assert(s.desk.launches_out() == 0 && s.desk.open_queries() == 0);
+    assert(s.desk.attempts_out() == 0 && s.desk.open_queries() == 0);
 }
 
 }  // namespace
 
 int main() {
-    a_launch_that_waits_too_long_for_its_connection_goes_elsewhere();
+    an_attempt_that_waits_too_long_for_its_connection_goes_elsewhere();
     a_category_turns_effectful_while_second_copies_run();
     a_part_of_the_fleet_is_learned_from_reports();
     a_query_is_read_written_and_settled();
@@ -397,9 +397,9 @@
     a_silent_stream_is_given_up();
     a_caller_that_leaves_ends_its_stream();
     what_a_lost_read_left_is_let_go();
-    a_state_that_a_launch_waits_for_is_kept();
+    a_state_that_an_attempt_waits_for_is_kept();
     an_effectful_query_is_never_sent_twice();
-    unanswered_launches_end_by_the_hard_stop();
+    unanswered_attempts_end_by_the_hard_stop();
     a_stop_gives_up_what_is_left();
     a_second_copy_wins_and_the_slow_one_is_called_off();
     the_first_may_still_win();
--- a/tests/desk/fake_outside.h
+++ b/tests/desk/fake_outside.h
@@ -12,10 +12,10 @@
 namespace copperfront {
 
 struct Sent {
-    LaunchId launch;
+    AttemptId attempt;
     ServerIndex to;
     QueryIndex query;
-    LaunchId state;
+    AttemptId state;
     bool reading;
 };
 
@@ -23,24 +23,24 @@
     Instant clock{1'000'000'000};
     Instant wish{INT64_MAX};
     std::vector<Sent> sent;
-    std::vector<LaunchId> called_off;
-    std::set<LaunchId> unsent;  // those that still wait for a connection
-    std::vector<std::pair<ServerIndex, LaunchId>> released;
+    std::vector<AttemptId> called_off;
+    std::set<AttemptId> unsent;  // those that still wait for a connection
+    std::vector<std::pair<ServerIndex, AttemptId>> released;
     std::map<QueryIndex, std::vector<std::string>> answers;
     std::vector<QueryIndex> closed_queries;
     std::size_t settled_ones = 0, probes = 0, notes = 0;
 
     Instant now() const override { return clock; }
     void wake_at(Instant at) override { wish = at; }
-    void send_read(LaunchId l, ServerIndex to, QueryIndex q, Span) override {
+    void send_read(AttemptId l, ServerIndex to, QueryIndex q, Span) override {
         sent.push_back({l, to, q, 0, true});
     }
-    void send_write(LaunchId l, ServerIndex to, QueryIndex q, LaunchId state, ServerIndex, Span) override {
+    void send_write(AttemptId l, ServerIndex to, QueryIndex q, AttemptId state, ServerIndex, Span) override {
         sent.push_back({l, to, q, state, false});
     }
-    void call_off(LaunchId l, ServerIndex) override { called_off.push_back(l); }
-    bool unsend(LaunchId l, ServerIndex) override { return unsent.count(l) > 0; }
-    void release(ServerIndex at, LaunchId state) override { released.emplace_back(at, state); }
+    void call_off(AttemptId l, ServerIndex) override { called_off.push_back(l); }
+    bool unsend(AttemptId l, ServerIndex) override { return unsent.count(l) > 0; }
+    void release(ServerIndex at, AttemptId state) override { released.emplace_back(at, state); }
     void probe(ServerIndex) override { ++probes; }
     void subscribe() override {}
     void tell_peers(std::string_view) override { ++notes; }
--- a/tests/desk/play_test.cpp
+++ b/tests/desk/play_test.cpp
@@ -81,7 +81,7 @@
         ServerIndex at;
         QueryIndex query;
         bool reading, called_off = false;
-        LaunchId state;
+        AttemptId state;
     };
     struct State {
         ServerIndex at;
@@ -98,8 +98,8 @@
 
     Instant clock{1'000'000'000'000};
     Instant wish{INT64_MAX};
-    std::map<LaunchId, Out> out;
-    std::map<std::pair<ServerIndex, LaunchId>, State> states;
+    std::map<AttemptId, Out> out;
+    std::map<std::pair<ServerIndex, AttemptId>, State> states;
     std::map<QueryIndex, std::uint64_t> number;
     std::vector<Asked> asked;
     std::set<ServerIndex> barred;
@@ -115,7 +115,7 @@
 
     Instant now() const override { return clock; }
     void wake_at(Instant at) override { wish = at; }
-    void sent(LaunchId l, ServerIndex to, QueryIndex q, bool reading, LaunchId state) {
+    void sent(AttemptId l, ServerIndex to, QueryIndex q, bool reading, AttemptId state) {
         Asked& a = of(q);
         if (a.over) wrong("a launch for a query that is over");
         if (barred.count(to)) wrong("a launch to a draining server");
@@ -125,18 +125,18 @@
         ++a.out;
         out[l] = {to, q, reading, false, state};
     }
-    void send_read(LaunchId l, ServerIndex to, QueryIndex q, Span) override { sent(l, to, q, true, 0); }
-    void send_write(LaunchId l, ServerIndex to, QueryIndex q, LaunchId state, ServerIndex, Span) override {
+    void send_read(AttemptId l, ServerIndex to, QueryIndex q, Span) override { sent(l, to, q, true, 0); }
+    void send_write(AttemptId l, ServerIndex to, QueryIndex q, AttemptId state, ServerIndex, Span) override {
         sent(l, to, q, false, state);
     }
-    void call_off(LaunchId l, ServerIndex) override {
+    void call_off(AttemptId l, ServerIndex) override {
         const auto it = out.find(l);
         if (it == out.end() || it->second.called_off) return wrong("called off what is not out");
         it->second.called_off = true;
         ended(l, !it->second.reading);
     }
     // Every third still waited for its connection, so it has not run.
-    bool unsend(LaunchId l, ServerIndex) override {
+    bool unsend(AttemptId l, ServerIndex) override {
         const auto it = out.find(l);
         if (it == out.end() || it->second.called_off || l % 3 != 0) return false;
         ended(l, false);
@@ -144,7 +144,7 @@
         return true;
     }
     // The gateway waits for it no longer.
-    void ended(LaunchId l, bool may_have_run) {
+    void ended(AttemptId l, bool may_have_run) {
         Asked& a = of(out.at(l).query);
         --a.out;
         a.may_have_run |= may_have_run;
@@ -153,7 +153,7 @@
             for (auto& [key, s] : states)
                 if (s.asked == n) s.free_since = clock;
     }
-    void release(ServerIndex at, LaunchId state) override { states.erase({at, state}); }
+    void release(ServerIndex at, AttemptId state) override { states.erase({at, state}); }
     void probe(ServerIndex server) override {
         ++probes;
         asked_of.push_back(server);
@@ -244,8 +244,8 @@
                 "uawz0f9"[static_cast<int>(draw() * 7)];
         desk->peer_told(note);
     }
-    // Something comes back of one launch, or is lost for ever.
-    void answer(LaunchId id) {
+    // Something comes back of one attempt, or is lost for ever.
+    void answer(AttemptId id) {
         World::Out& o = world.out.at(id);
         const std::uint64_t n = world.number.count(o.query) ? world.number.at(o.query) : 0;
         const bool off = o.called_off;
@@ -285,9 +285,9 @@
             world.ended(id, ran);
         }
         world.out.erase(id);
-        desk->launch_ended(id, outcome);
+        desk->attempt_ended(id, outcome);
     }
-    ServerIndex state_at(LaunchId state) const {
+    ServerIndex state_at(AttemptId state) const {
         for (const auto& [key, s] : world.states)
             if (key.second == state) return key.first;
         return 0;
@@ -382,7 +382,7 @@
         }
         if (!play.world.broken.empty()) RC_FAIL(play.world.broken + "\n" + whole(told));
         RC_ASSERT(play.desk->open_queries() == 0);
-        RC_ASSERT(play.desk->launches_out() == 0);
+        RC_ASSERT(play.desk->attempts_out() == 0);
         RC_ASSERT(play.world.states.empty());
         for (const World::Asked& a : play.world.asked) RC_ASSERT(a.answers == (a.left ? 0 : 1));
     });
