--- a/tests/explore/hold_world.cpp
+++ b/tests/explore/hold_world.cpp
@@ -26,7 +26,7 @@
     terms.categories[0].token_gap = ms(50);
     terms.kinds = {{Role::reader, 100000}, {Role::writer, 100000}};
     terms.cancel = true;
-    terms.max_launches = 6;
+    terms.max_attempts = 6;
     terms.max_stay_away = ms(1000);
     terms.quantum = ms(4);
     terms.connect_within = ms(250);
@@ -86,18 +86,18 @@
     return *std::find_if(requests_.begin(), requests_.end(), [&](const Request& r) { return r.id == id; });
 }
 
-HoldWorld::Attempt* HoldWorld::find(LaunchId launch) {
-    const auto it = attempts_.find(launch);
+HoldWorld::Attempt* HoldWorld::find(AttemptId attempt_id) {
+    const auto it = attempts_.find(attempt_id);
     return it == attempts_.end() ? nullptr : &it->second;
 }
 
-void HoldWorld::remove(LaunchId launch) { attempts_.erase(launch); }
+void HoldWorld::remove(AttemptId attempt_id) { attempts_.erase(attempt_id); }
 
 // ---- what the gateway does
 
-void HoldWorld::sent(LaunchId launch, ServerIndex to, QueryIndex query, bool prefill) {
+void HoldWorld::sent(AttemptId attempt_id, ServerIndex to, QueryIndex query, bool prefill) {
     Request& request = *request_of(query);
-    note(std::string(prefill ? "prefill " : "hand-over ") + std::to_string(launch) + " of " + request.id +
+    note(std::string(prefill ? "prefill " : "hand-over ") + std::to_string(attempt_id) + " of " + request.id +
          " to #" + std::to_string(to));
     const bool answered = request.answers > 0 || request.streaming;
     if (answered) wrong("lost: an attempt for a request that has been answered");
@@ -107,43 +107,44 @@
         if (other.request == request.id && !other.closed) wrong("duplicate: a second attempt out");
     }
     Attempt made;
-    made.id = launch;
+    made.id = attempt_id;
     made.query = query;
     made.request = request.id;
     made.server = to;
     made.prefill = prefill;
     made.since = now_;
-    attempts_[launch] = made;
+    attempts_[attempt_id] = made;
 }
 
-void HoldWorld::send_read(LaunchId launch, ServerIndex to, QueryIndex query, Span) {
-    sent(launch, to, query, true);
+void HoldWorld::send_read(AttemptId attempt_id, ServerIndex to, QueryIndex query, Span) {
+    sent(attempt_id, to, query, true);
 }
 
-void HoldWorld::send_write(LaunchId launch, ServerIndex to, QueryIndex query, LaunchId, ServerIndex, Span) {
-    sent(launch, to, query, false);
+void HoldWorld::send_write(AttemptId attempt_id, ServerIndex to, QueryIndex query, AttemptId, ServerIndex,
+                           Span) {
+    sent(attempt_id, to, query, false);
 }
 
-void HoldWorld::call_off(LaunchId launch, ServerIndex) {
-    Attempt* const attempt = find(launch);
+void HoldWorld::call_off(AttemptId attempt_id, ServerIndex) {
+    Attempt* const attempt = find(attempt_id);
     if (attempt == nullptr) return;
-    note("call off " + std::to_string(launch));
-    if (attempt->phase == Phase::dialling) return remove(launch);
+    note("call off " + std::to_string(attempt_id));
+    if (attempt->phase == Phase::dialling) return remove(attempt_id);
     attempt->closed = true;
     attempt->closed_at = now_;
     attempt->close_travels = kCloseTravels;
     outcome_at_server(attempt->request);
 }
 
-bool HoldWorld::unsend(LaunchId launch, ServerIndex) {
-    Attempt* const attempt = find(launch);
+bool HoldWorld::unsend(AttemptId attempt_id, ServerIndex) {
+    Attempt* const attempt = find(attempt_id);
     if (attempt == nullptr || attempt->phase != Phase::dialling) return false;
-    note("take back unsent " + std::to_string(launch));
-    remove(launch);
+    note("take back unsent " + std::to_string(attempt_id));
+    remove(attempt_id);
     return true;
 }
 
-void HoldWorld::release(ServerIndex at, LaunchId state) {
+void HoldWorld::release(ServerIndex at, AttemptId state) {
     for (const Request& request : requests_) {
         const RequestKey key = desk_->key_of(request.query);
         for (const HoldLedger::Entry& entry : ledger().entries(key)) {
@@ -183,142 +184,143 @@
     request_named(request).time_runs_since = now_;
 }
 
-void HoldWorld::end_attempt(LaunchId launch, Ending ending, bool no_state) {
-    Attempt* const attempt = find(launch);
+void HoldWorld::end_attempt(AttemptId attempt_id, Ending ending, bool no_state) {
+    Attempt* const attempt = find(attempt_id);
     if (attempt == nullptr) return;
     const Attempt ended = *attempt;
-    remove(launch);
-    states_.attempt_over(ended.request, std::to_string(launch));
+    remove(attempt_id);
+    states_.attempt_over(ended.request, std::to_string(attempt_id));
     outcome_at_server(ended.request);
     Outcome outcome;
     outcome.ending = ending;
     outcome.no_state = no_state;
     if (ending != Ending::unreachable && ending != Ending::broken) heard_[ended.server] = now_;
-    desk_->launch_ended(launch, outcome);
+    desk_->attempt_ended(attempt_id, outcome);
 }
 
-void HoldWorld::reset(LaunchId launch) {
-    Attempt& attempt = *find(launch);
+void HoldWorld::reset(AttemptId attempt_id) {
+    Attempt& attempt = *find(attempt_id);
     attempt.closed = true;
     attempt.closed_at = now_;
     attempt.close_travels = kResetTravels;
     outcome_at_server(attempt.request);
     Outcome outcome;
     outcome.ending = Ending::broken;
-    desk_->launch_ended(launch, outcome);
+    desk_->attempt_ended(attempt_id, outcome);
 }
 
-void HoldWorld::arrive(LaunchId launch) {
-    Attempt& attempt = *find(launch);
+void HoldWorld::arrive(AttemptId attempt_id) {
+    Attempt& attempt = *find(attempt_id);
     attempt.phase = Phase::working;
     if (attempt.prefill) return;
-    if (!states_.hand_over_arrived(attempt.request, std::to_string(launch))) {
-        if (attempt.closed) return remove(launch);
-        end_attempt(launch, Ending::full, true);
+    if (!states_.hand_over_arrived(attempt.request, std::to_string(attempt_id))) {
+        if (attempt.closed) return remove(attempt_id);
+        end_attempt(attempt_id, Ending::full, true);
     }
 }
 
-void HoldWorld::take_state(LaunchId launch) {
-    Attempt& attempt = *find(launch);
-    if (!states_.fetch(attempt.request, std::to_string(launch))) {
-        if (attempt.closed) return remove(launch);
-        return end_attempt(launch, Ending::full, true);
+void HoldWorld::take_state(AttemptId attempt_id) {
+    Attempt& attempt = *find(attempt_id);
+    if (!states_.fetch(attempt.request, std::to_string(attempt_id))) {
+        if (attempt.closed) return remove(attempt_id);
+        return end_attempt(attempt_id, Ending::full, true);
     }
     if (++request_named(attempt.request).runs > 1 && effectful_) wrong("duplicate: an effect twice");
     if (attempt.closed) return;
-    first_event(launch);
+    first_event(attempt_id);
 }
 
-void HoldWorld::first_event(LaunchId launch) {
-    Attempt& attempt = *find(launch);
+void HoldWorld::first_event(AttemptId attempt_id) {
+    Attempt& attempt = *find(attempt_id);
     attempt.phase = Phase::streaming;
     heard_[attempt.server] = now_;
     QueryIndex query = 0;
     const std::string request = attempt.request;
-    if (desk_->token_came(launch, query)) request_named(request).streaming = true;
+    if (desk_->token_came(attempt_id, query)) request_named(request).streaming = true;
 }
 
-void HoldWorld::server_sees_close(LaunchId launch) {
-    const Attempt& attempt = *find(launch);
-    states_.attempt_over(attempt.request, std::to_string(launch));
+void HoldWorld::server_sees_close(AttemptId attempt_id) {
+    const Attempt& attempt = *find(attempt_id);
+    states_.attempt_over(attempt.request, std::to_string(attempt_id));
     outcome_at_server(attempt.request);
-    remove(launch);
+    remove(attempt_id);
 }
 
-void HoldWorld::add_attempt_events(std::vector<Event>& events, LaunchId launch) {
-    const Attempt& attempt = attempts_.at(launch);
-    const std::string name = std::to_string(launch);
+void HoldWorld::add_attempt_events(std::vector<Event>& events, AttemptId attempt_id) {
+    const Attempt& attempt = attempts_.at(attempt_id);
+    const std::string name = std::to_string(attempt_id);
     const bool runs_now = runs(attempt.server);
     const auto add = [&](const std::string& what, std::function<void()> act) {
         events.push_back({what + " " + name, std::move(act)});
     };
     switch (attempt.phase) {
         case Phase::dialling:
-            add("connected", [this, launch] {
-                if (desk_->may_be_written(launch, request_of(attempts_.at(launch).query)->left, {}) !=
+            add("connected", [this, attempt_id] {
+                if (desk_->may_be_written(attempt_id, request_of(attempts_.at(attempt_id).query)->left, {}) !=
                     Denial::none) {
-                    return end_attempt(launch, Ending::unreachable);
+                    return end_attempt(attempt_id, Ending::unreachable);
                 }
-                find(launch)->phase = Phase::in_socket;
+                find(attempt_id)->phase = Phase::in_socket;
             });
-            add("connection refused", [this, launch] { end_attempt(launch, Ending::unreachable); });
+            add("connection refused", [this, attempt_id] { end_attempt(attempt_id, Ending::unreachable); });
             return;
         case Phase::in_socket:
-            if (runs_now) add("arrived", [this, launch] { arrive(launch); });
-            add("reset unread", [this, launch] { reset(launch); });
+            if (runs_now) add("arrived", [this, attempt_id] { arrive(attempt_id); });
+            add("reset unread", [this, attempt_id] { reset(attempt_id); });
             return;
         case Phase::working:
             break;
         case Phase::half_sent:
-            add("reset half sent", [this, launch] { end_attempt(launch, Ending::broken); });
+            add("reset half sent", [this, attempt_id] { end_attempt(attempt_id, Ending::broken); });
             return;
         case Phase::streaming:
-            if (runs_now) add("stream ended", [this, launch] { end_attempt(launch, Ending::settled); });
-            add("stream broke", [this, launch] { end_attempt(launch, Ending::broken); });
+            if (runs_now)
+                add("stream ended", [this, attempt_id] { end_attempt(attempt_id, Ending::settled); });
+            add("stream broke", [this, attempt_id] { end_attempt(attempt_id, Ending::broken); });
             return;
     }
-    add("reset at work", [this, launch] { reset(launch); });
+    add("reset at work", [this, attempt_id] { reset(attempt_id); });
     if (!runs_now) return;
-    add("turned away", [this, launch] { end_attempt(launch, Ending::full); });
-    add("error", [this, launch] { end_attempt(launch, Ending::error); });
+    add("turned away", [this, attempt_id] { end_attempt(attempt_id, Ending::full); });
+    add("error", [this, attempt_id] { end_attempt(attempt_id, Ending::error); });
     if (!attempt.prefill) {
-        add("taken and begun", [this, launch] { take_state(launch); });
+        add("taken and begun", [this, attempt_id] { take_state(attempt_id); });
         return;
     }
-    add("read", [this, launch] {
-        states_.prefill_ended(find(launch)->request, std::to_string(launch));
-        end_attempt(launch, Ending::read);
+    add("read", [this, attempt_id] {
+        states_.prefill_ended(find(attempt_id)->request, std::to_string(attempt_id));
+        end_attempt(attempt_id, Ending::read);
     });
-    add("read, answer lost", [this, launch] {
-        states_.prefill_ended(find(launch)->request, std::to_string(launch));
-        end_attempt(launch, Ending::broken);
+    add("read, answer lost", [this, attempt_id] {
+        states_.prefill_ended(find(attempt_id)->request, std::to_string(attempt_id));
+        end_attempt(attempt_id, Ending::broken);
     });
-    add("read, answer half sent", [this, launch] {
-        Attempt& mine = *find(launch);
-        states_.prefill_ended(mine.request, std::to_string(launch));
+    add("read, answer half sent", [this, attempt_id] {
+        Attempt& mine = *find(attempt_id);
+        states_.prefill_ended(mine.request, std::to_string(attempt_id));
         mine.phase = Phase::half_sent;
         mine.since = now_;
         heard_[mine.server] = now_;
         outcome_at_server(mine.request);
-        desk_->answer_began(launch);
+        desk_->answer_began(attempt_id);
     });
 }
 
 // The gateway has closed it; a running server sees that soon, and may have read what lay in its socket
 // before.
-void HoldWorld::add_closed_events(std::vector<Event>& events, LaunchId launch) {
-    const Attempt& attempt = attempts_.at(launch);
+void HoldWorld::add_closed_events(std::vector<Event>& events, AttemptId attempt_id) {
+    const Attempt& attempt = attempts_.at(attempt_id);
     if (!runs(attempt.server)) return;
-    const std::string name = std::to_string(launch);
-    events.push_back({"close seen " + name, [this, launch] { server_sees_close(launch); }});
+    const std::string name = std::to_string(attempt_id);
+    events.push_back({"close seen " + name, [this, attempt_id] { server_sees_close(attempt_id); }});
     if (attempt.phase == Phase::in_socket) {
-        events.push_back({"arrived late " + name, [this, launch] { arrive(launch); }});
+        events.push_back({"arrived late " + name, [this, attempt_id] { arrive(attempt_id); }});
     }
     if (attempt.phase == Phase::working && attempt.prefill) {
-        events.push_back({"read late " + name, [this, launch] {
-                              const std::string request = find(launch)->request;
-                              states_.prefill_ended(request, std::to_string(launch));
-                              server_sees_close(launch);
+        events.push_back({"read late " + name, [this, attempt_id] {
+                              const std::string request = find(attempt_id)->request;
+                              states_.prefill_ended(request, std::to_string(attempt_id));
+                              server_sees_close(attempt_id);
                           }});
     }
 }
@@ -379,8 +381,8 @@
     for (const Span span : kSteps) {
         all.push_back({"", [this, span] { pass(span); }});
     }
-    for (const auto& [launch, attempt] : attempts_) {
-        attempt.closed ? add_closed_events(all, launch) : add_attempt_events(all, launch);
+    for (const auto& [attempt_id, attempt] : attempts_) {
+        attempt.closed ? add_closed_events(all, attempt_id) : add_attempt_events(all, attempt_id);
     }
     for (const auto& [call, mine] : release_calls_) add_release_events(all, call);
     for (Request& request : requests_) {
@@ -409,23 +411,23 @@
 
 void HoldWorld::look() {
     const Span within = guard().answer_completion_time();
-    std::vector<LaunchId> incomplete, seen;
-    for (const auto& [launch, attempt] : attempts_) {
+    std::vector<AttemptId> incomplete, seen;
+    for (const auto& [attempt_id, attempt] : attempts_) {
         const bool half = attempt.phase == Phase::half_sent && !attempt.closed;
-        if (half && now_ - attempt.since >= within) incomplete.push_back(launch);
+        if (half && now_ - attempt.since >= within) incomplete.push_back(attempt_id);
         const bool close_arrived = attempt.closed && now_ - attempt.closed_at >= attempt.close_travels;
-        if (close_arrived && runs(attempt.server)) seen.push_back(launch);
+        if (close_arrived && runs(attempt.server)) seen.push_back(attempt_id);
     }
-    for (const LaunchId launch : incomplete) {
-        note("gives up the rest of the answer of " + std::to_string(launch));
-        remove(launch);
+    for (const AttemptId attempt_id : incomplete) {
+        note("gives up the rest of the answer of " + std::to_string(attempt_id));
+        remove(attempt_id);
         Outcome outcome;
         outcome.ending = Ending::broken;
         outcome.closed_here = true;
-        desk_->launch_ended(launch, outcome);
+        desk_->attempt_ended(attempt_id, outcome);
     }
-    for (const LaunchId launch : seen) {
-        if (find(launch) != nullptr) server_sees_close(launch);
+    for (const AttemptId attempt_id : seen) {
+        if (find(attempt_id) != nullptr) server_sees_close(attempt_id);
     }
     // A running server that is asked answers soon.
     std::vector<ReleaseCallId> old;
@@ -461,7 +463,7 @@
         const bool over = request.answers > 0 || request.left || request.streaming;
         if (!over && now_ > request.deadline + kAnswerSlack) wrong("lost: no final answer");
         bool attempt_out = false;
-        for (const auto& [launch, attempt] : attempts_) {
+        for (const auto& [attempt_id, attempt] : attempts_) {
             if (attempt.request != request.id) continue;
             const bool at_work = attempt.phase == Phase::working || attempt.phase == Phase::streaming;
             attempt_out = attempt_out || at_work;
@@ -495,7 +497,7 @@
     const auto mix_time = [&](Instant at) {
         mix(static_cast<std::size_t>((now_.us - at.us) / kAlikeWithin.us));
     };
-    for (const auto& [launch, attempt] : attempts_) {
+    for (const auto& [attempt_id, attempt] : attempts_) {
         mix(attempt.server);
         mix(static_cast<std::size_t>(attempt.phase));
         mix(attempt.closed);
--- a/tests/explore/hold_world.h
+++ b/tests/explore/hold_world.h
@@ -51,7 +51,7 @@
         streaming,
     };
     struct Attempt {
-        LaunchId id = 0;
+        AttemptId id = 0;
         QueryIndex query = 0;
         std::string request;
         ServerIndex server = 0;
@@ -85,12 +85,13 @@
     // ---- Outside
     Instant now() const override { return now_; }
     void wake_at(Instant at) override { wake_ = at; }
-    void send_read(LaunchId launch, ServerIndex to, QueryIndex query, Span) override;
-    void send_write(LaunchId launch, ServerIndex to, QueryIndex query, LaunchId, ServerIndex, Span) override;
-    void call_off(LaunchId launch, ServerIndex at) override;
-    bool unsend(LaunchId launch, ServerIndex at) override;
+    void send_read(AttemptId attempt_id, ServerIndex to, QueryIndex query, Span) override;
+    void send_write(AttemptId attempt_id, ServerIndex to, QueryIndex query, AttemptId, ServerIndex,
+                    Span) override;
+    void call_off(AttemptId attempt_id, ServerIndex at) override;
+    bool unsend(AttemptId attempt_id, ServerIndex at) override;
     bool releases_are_answered() const override { return true; }
-    void release(ServerIndex at, LaunchId state) override;
+    void release(ServerIndex at, AttemptId state) override;
     void probe(ServerIndex) override {}
     void subscribe() override {}
     void settled(QueryIndex query) override { answered(query, false); }
@@ -115,29 +116,29 @@
     void wrong(const std::string& what);
     void note(const std::string& what);
     void ask(const Shape& shape);
-    void sent(LaunchId launch, ServerIndex to, QueryIndex query, bool prefill);
+    void sent(AttemptId attempt_id, ServerIndex to, QueryIndex query, bool prefill);
     void answered(QueryIndex query, bool rejected);
     Request* request_of(QueryIndex query);
     Request& request_named(const std::string& id);
-    Attempt* find(LaunchId launch);
-    void remove(LaunchId launch);
+    Attempt* find(AttemptId attempt_id);
+    void remove(AttemptId attempt_id);
     bool runs(ServerIndex server) const { return hung_.count(server) == 0; }
 
     std::vector<Event> events();
-    void add_attempt_events(std::vector<Event>& events, LaunchId launch);
-    void add_closed_events(std::vector<Event>& events, LaunchId launch);
+    void add_attempt_events(std::vector<Event>& events, AttemptId attempt_id);
+    void add_closed_events(std::vector<Event>& events, AttemptId attempt_id);
     void add_release_events(std::vector<Event>& events, ReleaseCallId call);
     void answer_release(ReleaseCallId call, bool answer_arrives);
     void add_server_events(std::vector<Event>& events);
     // The server is through with it, and its answer has come or its connection has ended.
-    void end_attempt(LaunchId launch, Ending ending, bool no_state = false);
+    void end_attempt(AttemptId attempt_id, Ending ending, bool no_state = false);
     // The network resets its connection; the server learns of it later than the gateway.
-    void reset(LaunchId launch);
-    void arrive(LaunchId launch);
-    void take_state(LaunchId launch);
-    void first_event(LaunchId launch);
+    void reset(AttemptId attempt_id);
+    void arrive(AttemptId attempt_id);
+    void take_state(AttemptId attempt_id);
+    void first_event(AttemptId attempt_id);
     void outcome_at_server(const std::string& request);
-    void server_sees_close(LaunchId launch);
+    void server_sees_close(AttemptId attempt_id);
 
     void pass(Span span);
     void look();
@@ -147,7 +148,7 @@
     Instant wake_{INT64_MAX}, next_look_;
     standin::MemoryMarkStore marks_;
     standin::HeldStates states_{marks_};
-    std::map<LaunchId, Attempt> attempts_;
+    std::map<AttemptId, Attempt> attempts_;
     std::map<ReleaseCallId, ReleaseCall> release_calls_;
     ReleaseCallId next_release_call_ = 1;
     std::vector<Request> requests_;
--- a/tests/gateway/engines_test.cpp
+++ b/tests/gateway/engines_test.cpp
@@ -57,7 +57,7 @@
     Bounds bounds;
     Log log{"error", "json", "", 1 << 20, 1};
     std::unique_ptr<Engines> engines;
-    std::vector<std::pair<LaunchId, Ending>> ended;
+    std::vector<std::pair<AttemptId, Ending>> ended;
     std::vector<std::string> tokens;
     std::size_t ends_wanted = 0;
     std::function<bool()> until;
@@ -88,20 +88,20 @@
         loop.run();
         give_up.off();
     }
-    void send(ServerIndex s, LaunchId l) {
+    void send(ServerIndex s, AttemptId l) {
         rpc::Order order;
         order.query = "q" + std::to_string(l);
         order.state = "s";
         engines->send(s, l, rpc::order_line(rpc::Id{static_cast<std::int64_t>(l)}, rpc::kRead, order), true);
     }
-    void launch_over(LaunchId l, const Outcome& o, double, const std::string&) override {
+    void attempt_over(AttemptId l, const Outcome& o, double, const std::string&) override {
         ended.emplace_back(l, o.ending);
     }
-    void token_came(LaunchId, std::string_view text) override { tokens.emplace_back(text); }
+    void token_came(AttemptId, std::string_view text) override { tokens.emplace_back(text); }
     void probe_over(ServerIndex, bool, const LoadReport&) override {}
 };
 
-using Ends = std::vector<std::pair<LaunchId, Ending>>;
+using Ends = std::vector<std::pair<AttemptId, Ending>>;
 
 void answers_come_back() {
     Story s;
@@ -144,7 +144,7 @@
     assert(peer.heard.empty());
 }
 
-void a_reset_with_launches_out_is_broken() {
+void a_reset_with_attempts_out_is_broken() {
     Story s;
     Peer peer(s.loop);
     peer.script = [](Peer& p, const rpc::Message& m) {
@@ -157,7 +157,7 @@
     assert((s.ended == Ends{{1, Ending::broken}, {2, Ending::broken}}));
 }
 
-// Against a process that hangs with launches out: pings go unanswered and the link is given up.
+// Against a process that hangs with attempts out: pings go unanswered and the link is given up.
 void a_silent_engine_counts_as_broken() {
     Story s;
     Peer peer(s.loop);
@@ -209,10 +209,10 @@
     Story s;
     Peer peer(s.loop);
     s.engines->learn(0, peer.listener.address().text());
-    for (LaunchId l = 1; l <= 5; ++l) s.send(0, l);
+    for (AttemptId l = 1; l <= 5; ++l) s.send(0, l);
     s.run([&] { return peer.heard.size() == 5; });
     assert(peer.came == 3);  // two a link
-    for (LaunchId l = 1; l <= 5; ++l) s.engines->call_off(0, l);
+    for (AttemptId l = 1; l <= 5; ++l) s.engines->call_off(0, l);
     s.run([&] { return peer.heard.size() == 10 && peer.links.empty(); });
     assert(peer.heard.back().method == rpc::kCancelled);
     assert(s.ended.empty() && s.engines->links() == 0);
@@ -230,7 +230,7 @@
     assert(s.engines->owed() == 0);
 }
 
-void a_launch_called_off_before_its_link_is_made_is_never_sent() {
+void an_attempt_called_off_before_its_link_is_made_is_never_sent() {
     Story s;
     Peer peer(s.loop);
     s.engines->learn(0, peer.listener.address().text());
@@ -268,7 +268,7 @@
     s.bounds.ping_after = ms(30000);
     s.engines = std::make_unique<Engines>(s.loop, s.bounds, rpc::Hello{"g", "z", "1"}, s, s.log);
     s.engines->learn(0, peer.listener.address().text());
-    LaunchId next = 1;
+    AttemptId next = 1;
     s.send(0, next++);
     s.run([&] {
         for (int n = 0; n < 2000 && s.ended.empty(); ++n) s.send(0, next++);
@@ -283,13 +283,13 @@
     answers_come_back();
     a_refused_connection_is_unreachable();
     an_engine_that_never_greets_is_unreachable();
-    a_reset_with_launches_out_is_broken();
+    a_reset_with_attempts_out_is_broken();
     a_silent_engine_counts_as_broken();
     an_engine_that_answers_pings_is_waited_for();
     an_engine_that_talks_nonsense_is_cut_off();
     links_are_shared_up_to_their_bound_and_closed_when_idle();
     a_release_waits_for_a_link();
-    a_launch_called_off_before_its_link_is_made_is_never_sent();
+    an_attempt_called_off_before_its_link_is_made_is_never_sent();
     only_what_waits_for_its_link_can_be_taken_back();
     an_engine_that_never_reads_is_cut_off();
 }
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -117,7 +117,7 @@
 void a_query_is_settled_and_a_whole_answer_comes_in_one_piece() {
     World w;
     Caller c(w.loop, w.gateway->address());
-    w.run([&] { return w.gateway->desk().launches_out() == 0; });
+    w.run([&] { return w.gateway->desk().attempts_out() == 0; });
     c.link->send(rpc::ask_line(rpc::Id{std::int64_t{1}}, ask()));
     c.link->send(rpc::ask_line(rpc::Id{std::int64_t{2}}, ask("whole")));
     w.run([&] { return c.finals(1) == 1 && c.finals(2) == 1; });
@@ -440,9 +440,9 @@
         assert(c.count(rpc::Sort::result, rpc::Id{id}) == 1);
     }
     const rpc::Json told = status_of(w, c, 99)["watching"];
-    std::uint64_t launches = 0;
-    for (const char* key : {"alike", "reader", "writer", "held"}) launches += told[key].get<std::uint64_t>();
-    assert(launches == 40);  // each query was read and handed over once, and each of these was compared
+    std::uint64_t attempts = 0;
+    for (const char* key : {"alike", "reader", "writer", "held"}) attempts += told[key].get<std::uint64_t>();
+    assert(attempts == 40);  // each query was read and handed over once, and each of these was compared
     assert(told["reader"].get<std::uint64_t>() >= 4 && told["alike"].get<std::uint64_t>() >= 10);
     assert(told["ended"] == 0 && told["wentOn"] == 0);
     assert(gateway.desk().tally().probes == 0 && gateway.desk().tally().reads == 20);
--- a/tests/limits/limits_test.cpp
+++ b/tests/limits/limits_test.cpp
@@ -47,12 +47,13 @@
     l.retry_share = 0.1;
     Admission a = with(l);
     for (int n = 0; n < 5; ++n) a.query_came(0, 1, false, kStart);
-    for (int n = 0; n < 20; ++n) a.launched_first(0, kStart);
-    assert(a.may_launch_again(0, kStart) && a.may_launch_again(0, kStart) && !a.may_launch_again(0, kStart));
+    for (int n = 0; n < 20; ++n) a.first_attempt_started(0, kStart);
+    assert(a.may_attempt_again(0, kStart) && a.may_attempt_again(0, kStart) &&
+           !a.may_attempt_again(0, kStart));
     for (int n = 0; n < 100; ++n) {
         a.change({{l}}, 1, kStart);
         assert(a.query_came(0, 1, false, kStart).why == Refusal::rate);
-        assert(!a.may_launch_again(0, kStart));
+        assert(!a.may_attempt_again(0, kStart));
     }
     l.burst = 50;
     a.change({{l}}, 1, kStart);
@@ -80,7 +81,7 @@
 }
 
 // Against a failure of the whole fleet that multiplies its load.
-void further_launches_keep_to_their_share() {
+void further_attempts_keep_to_their_share() {
     RouteLimits l;
     l.retry_share = 0.2;
     l.retry_floor = 1;
@@ -89,9 +90,9 @@
     Instant now = kStart;
     int first = 0, further = 0;
     for (int n = 0; n < 6000; ++n, now = now + ms(10)) {
-        a.launched_first(0, now);
+        a.first_attempt_started(0, now);
         ++first;
-        for (int again = 0; again < 4; ++again) further += a.may_launch_again(0, now);
+        for (int again = 0; again < 4; ++again) further += a.may_attempt_again(0, now);
     }
     assert(further > 0.19 * first && further < 0.2 * first + 60 + 20);
 }
@@ -108,7 +109,7 @@
     const Instant later = kStart + ms(1000LL * 86400 * 300);
     int taken = 0, further = 0;
     for (int n = 0; n < 100; ++n) taken += a.query_came(0, 1, false, later).why == Refusal::none;
-    for (int n = 0; n < 100; ++n) further += a.may_launch_again(0, later);
+    for (int n = 0; n < 100; ++n) further += a.may_attempt_again(0, later);
     assert(taken == 5 && further == 10);
     // And one that goes back gives nothing.
     assert(a.query_came(0, 1, false, kStart).why == Refusal::rate);
@@ -185,10 +186,10 @@
         const Instant now = kStart + ms(t);
         for (RouteIndex r = 0; r < 20; ++r) {
             if ((t + static_cast<int>(r) * 7) % 25 != 0) continue;  // 40 a second each
-            a.launched_first(r, now);
+            a.first_attempt_started(r, now);
             ++first;
-            // Every launch fails, and so does each that follows it, up to five.
-            for (int again = 0; again < 5 && a.may_launch_again(r, now); ++again) ++this_second;
+            // Every attempt fails, and so does each that follows it, up to five.
+            for (int again = 0; again < 5 && a.may_attempt_again(r, now); ++again) ++this_second;
         }
         if (t % 1000 != 999) continue;
         further += this_second;
@@ -338,8 +339,8 @@
                 a.query_over(0, 10, true, now);
                 --open;
             }
-            if (what == 2) a.launched_first(0, now);
-            if (what == 3) a.may_launch_again(0, now);
+            if (what == 2) a.first_attempt_started(0, now);
+            if (what == 3) a.may_attempt_again(0, now);
             RC_ASSERT(a.counts(0).in_hand == open && a.counts(0).prompt_tokens == 10 * open);
             RC_ASSERT(open <= l.in_hand);
         }
@@ -352,7 +353,7 @@
     a_rate_lets_its_burst_and_then_its_rate_through();
     a_reload_frees_nothing();
     what_runs_goes_on();
-    further_launches_keep_to_their_share();
+    further_attempts_keep_to_their_share();
     a_clock_that_stands_still_and_then_jumps_gives_no_more_than_a_window();
     prompt_tokens_and_answer_tokens_are_bounded();
     the_fleet_keeps_to_a_stated_limit();
--- a/tests/node/departed_client_test.cpp
+++ b/tests/node/departed_client_test.cpp
@@ -45,7 +45,7 @@
     w.wait_for_list();
     RawClient client(w.node->address());
     client.say(w.call(w.fresh(), "4000"));
-    w.until("it waits for its connection", [&] { return w.node->upstreams().launches() == 1; });
+    w.until("it waits for its connection", [&] { return w.node->upstreams().attempts() == 1; });
     go(client);
     stalled.accept_all();
     w.until("it is over", [&] { return w.node->desk().open_queries() == 0; });
--- a/tests/node/fleet_test.cpp
+++ b/tests/node/fleet_test.cpp
@@ -175,17 +175,17 @@
     w.at_rest();
 }
 
-// ---- launches
+// ---- attempts
 
 // Connections to a process that is no more are of no use, also those that have yet to come up.
-void a_launch_that_waits_for_an_earlier_process_is_not_sent_there() {
+void an_attempt_that_waits_for_an_earlier_process_is_not_sent_there() {
     World w;
     const StalledListener stalled;
     w.platform.point("r1", stalled.address());
     w.pass(ms(30));
     auto c = w.client();
     c->say(w.call("q"));
-    w.until("it waits", [&] { return w.node->upstreams().launches() == 1; });
+    w.until("it waits", [&] { return w.node->upstreams().attempts() == 1; });
     // Under another address: what waits has never been sent, long before the connection's time is over.
     w.platform.add("r1", Role::reader, "z", 1);
     w.until(
@@ -198,16 +198,16 @@
     w.until("an answer", [&] { return c->closed || c->whole() || c->status() == 503; });
 }
 
-// What is left is told when the launch is written, not when its connection was asked for.
-void the_time_left_is_told_as_it_is_when_the_launch_is_written() {
+// What is left is told when the attempt is written, not when its connection was asked for.
+void the_time_left_is_told_as_it_is_when_the_attempt_is_written() {
     Loop loop;
     struct Quiet : UpstreamPool::Owner {
-        void launch_over(LaunchId, const Outcome&, const std::string&) override {}
-        void events_came(LaunchId, std::string_view, std::size_t) override {}
+        void attempt_over(AttemptId, const Outcome&, const std::string&) override {}
+        void events_came(AttemptId, std::string_view, std::size_t) override {}
         SendGuard send_guard{Span{1000000}};
-        Denial may_write(LaunchId, Span) override { return Denial::none; }
+        Denial may_write(AttemptId, Span) override { return Denial::none; }
         HoldLedger hold_ledger{Span{1000000}};
-        void answer_began(LaunchId) override {}
+        void answer_began(AttemptId) override {}
         void release_answered(const std::string&, const HoldLedger::ReleaseResult&) override {}
         void release_given_up(const std::string&, const HoldLedger::ReleaseResult&) override {}
         SendGuard& guard() override { return send_guard; }
@@ -327,10 +327,10 @@
         {"a_client_that_leaves_behind_much_that_it_sent_is_seen_to_go",
          a_client_that_leaves_behind_much_that_it_sent_is_seen_to_go},
         {"a_client_group_over_its_share_is_told_so", a_client_group_over_its_share_is_told_so},
-        {"a_launch_that_waits_for_an_earlier_process_is_not_sent_there",
-         a_launch_that_waits_for_an_earlier_process_is_not_sent_there},
-        {"the_time_left_is_told_as_it_is_when_the_launch_is_written",
-         the_time_left_is_told_as_it_is_when_the_launch_is_written},
+        {"an_attempt_that_waits_for_an_earlier_process_is_not_sent_there",
+         an_attempt_that_waits_for_an_earlier_process_is_not_sent_there},
+        {"the_time_left_is_told_as_it_is_when_the_attempt_is_written",
+         the_time_left_is_told_as_it_is_when_the_attempt_is_written},
         {"calls_behind_the_open_one_are_served_at_a_stop", calls_behind_the_open_one_are_served_at_a_stop},
         {"a_resting_connection_ends_in_good_order_at_a_stop",
          a_resting_connection_ends_in_good_order_at_a_stop},
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -58,7 +58,7 @@
     for (const Row& row : rows) {
         World w;
         w.platform.next(row.server, row.fault);
-        // None of it is sent again by itself, so the first launch that follows is the module's.
+        // None of it is sent again by itself, so the first attempt that follows is the module's.
         auto c = w.ask();
         const auto count = w.node->desk().tally().endings[static_cast<std::size_t>(row.ending)];
         if (count != 1 || !(c->whole() || c->status() == 503 || c->status() == 504))
@@ -148,7 +148,7 @@
     w.at_rest();
 }
 
-void a_client_that_leaves_takes_its_launch_and_its_state_with_it() {
+void a_client_that_leaves_takes_its_attempt_and_its_state_with_it() {
     standin::Platform::Shape slow;
     slow.read = ms(150);
     slow.first = slow.gap = ms(150);
@@ -349,7 +349,7 @@
     w.platform.next("r1", Fault::silent);
     auto d = w.client();
     d->say(w.call("lost", "600"));
-    w.until("it is out", [&] { return w.node->desk().launches_out() == 1; });
+    w.until("it is out", [&] { return w.node->desk().attempts_out() == 1; });
     w.platform.kill("r1");
     w.until("an answer", [&] { return d->status() != 0; });
     w.at_rest();
@@ -504,7 +504,7 @@
     assert(t.reads == 20 && t.writes == 20 && t.settled == 20 && t.releases == 0);
     assert(t.endings[static_cast<std::size_t>(Ending::read)] == 20);
     assert(t.endings[static_cast<std::size_t>(Ending::settled)] == 20);
-    assert(w.node->upstreams().launches() == 0 && w.platform.connections() == 2);
+    assert(w.node->upstreams().attempts() == 0 && w.platform.connections() == 2);
     assert(w.platform.count("DELETE") == 0 && w.platform.states() == 0);
 }
 
@@ -519,7 +519,7 @@
     good_streams_that_bring_more_than_belongs_to_them_are_good();
     a_stream_that_is_spoilt_after_its_first_event_ends_without_its_last_chunk();
     a_stream_that_rests_longer_than_its_client_would_have_waited_goes_on();
-    a_client_that_leaves_takes_its_launch_and_its_state_with_it();
+    a_client_that_leaves_takes_its_attempt_and_its_state_with_it();
     an_id_that_is_open_is_refused_and_the_open_one_left_alone();
     calls_that_cannot_be_read_get_an_error_and_nothing_is_passed_on();
     half_a_call_and_silence_are_ended_in_time();
--- a/tests/node/retries_test.cpp
+++ b/tests/node/retries_test.cpp
@@ -111,7 +111,7 @@
     // The state may have gone with the reset, so the prompt is read again first.
     w.prefill.send(w.wait_for_post(w.prefill, 2), prefill_response());
     w.until("the further attempt waits for its connection",
-            [&] { return w.node->desk().tally().writes == 2 && w.node->upstreams().launches() == 1; });
+            [&] { return w.node->desk().tally().writes == 2 && w.node->upstreams().attempts() == 1; });
     w.pass(ms(400));
     stalled->accept_all();
     w.until("a final answer", [&] { return client->status() != 0; });
--- a/tests/node/shutdown_test.cpp
+++ b/tests/node/shutdown_test.cpp
@@ -122,7 +122,7 @@
         w.platform.set("r1", "up");
     }
     if (stage == Stage::dialling) {
-        w.until("it waits for its connection", [&] { return w.node->upstreams().launches() == 1; });
+        w.until("it waits for its connection", [&] { return w.node->upstreams().attempts() == 1; });
         // The server comes back under another address: what waits was never sent and goes there.
         w.platform.point("r1", w.prefill.address());
     }
--- a/tests/node/world.h
+++ b/tests/node/world.h
@@ -138,8 +138,8 @@
     }
     void at_rest() {
         until("nothing open, out, owed or held", [&] {
-            return node->desk().open_queries() == 0 && node->desk().launches_out() == 0 &&
-                   node->upstreams().owed() == 0 && node->upstreams().launches() == 0 &&
+            return node->desk().open_queries() == 0 && node->desk().attempts_out() == 0 &&
+                   node->upstreams().owed() == 0 && node->upstreams().attempts() == 0 &&
                    platform.states() == 0;
         });
     }
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -56,7 +56,7 @@
     assert(t.core.kinds[0].role == Role::reader && t.core.kinds[1].memory_tokens == 2000);
     assert(t.core.categories[0].latency_goal.us == 1500000 && t.core.categories[0].stream);
     assert(t.core.categories[0].token_gap.us == 60000 && t.core.categories[0].goal_per_thousand.us == 40000);
-    assert(t.core.max_launches == 6 && t.core.max_stay_away.us == 1000000 && t.core.cancel && !t.core.probes);
+    assert(t.core.max_attempts == 6 && t.core.max_stay_away.us == 1000000 && t.core.cancel && !t.core.probes);
     assert(t.core.warm_within.us == 14000000 && t.core.quantum.us == 4000);
     assert(t.links.idle.us == 15000000 && t.core.connect_within.us == 250000 &&
            t.links.longest_wait.us == 6000000);
--- a/tests/terms/terms_test.cpp
+++ b/tests/terms/terms_test.cpp
@@ -86,9 +86,9 @@
     refused(with(kWell, "(start-capacity 0.3)", "(start-capacity 1.3)"), 7, "rules / start-capacity",
             "0.001 to 1");
     refused(with(kWell, "(zone \"north\"))\n", "(zone \"south\"))\n"), 2, "gateway / zone", "no such zone");
-    for (const char* launches : {"-4", "1e300", "-1e300", "4.5"})
+    for (const char* attempts : {"-4", "1e300", "-1e300", "4.5"})
         refused(
-            with(kWell, "(rules", std::string("(route \"default\" (most-launches ") + launches + ")) (rules"),
+            with(kWell, "(rules", std::string("(route \"default\" (most-launches ") + attempts + ")) (rules"),
             7, "route default / most-launches", "whole number, 2 to 64");
     refused(with(kWell, "(rules", "(ruler"), 7, "ruler", "did you mean rules?");
     refused(with(kWell, "(latency-goal 1500ms)", "(latency-goal 9s)"), 6, "latency-goal",
--- a/tests/trace/rows_at_random.h
+++ b/tests/trace/rows_at_random.h
@@ -103,7 +103,7 @@
     Row choice(std::int64_t at, Deed deed, std::int64_t server) {
         Row r = decision(at, deed);
         r[decision_column::server] = server;
-        r[decision_column::launch] = ++launch_;
+        r[decision_column::attempt] = ++attempt_;
         r[decision_column::limit] = 3'000'000;
         r[decision_column::of] = 18;
         r.lists[0].push_back(server);
@@ -117,14 +117,14 @@
     Row over(std::int64_t at, std::int64_t server, std::int64_t ending, std::int64_t took) {
         Row r = decision(at, Deed::over);
         r[decision_column::server] = server;
-        r[decision_column::launch] = launch_;
+        r[decision_column::attempt] = attempt_;
         r[decision_column::ending] = ending;
         r[decision_column::took] = took;
         return r;
     }
 
     std::mt19937_64 chance_;
-    std::int64_t now_, gap_us_, origin_, number_ = 0, launch_ = 0;
+    std::int64_t now_, gap_us_, origin_, number_ = 0, attempt_ = 0;
     std::vector<std::int64_t> servers_, routes_, categories_, groups_, reasons_;
 };
 
--- a/tests/watching/watching_test.cpp
+++ b/tests/watching/watching_test.cpp
@@ -19,7 +19,7 @@
     t.categories[0].latency_goal = ms(1500);
     t.kinds = {{Role::reader, 100000}, {Role::writer, 100000}};
     t.cancel = true;
-    t.max_launches = 4;
+    t.max_attempts = 4;
     t.quantum = ms(4);
     t.release_within = ms(1000);
     t.max_stay_away = ms(1000);
@@ -53,16 +53,16 @@
             Outcome o;
             o.ending = Ending::read;
             pass(ms(20));
-            desk.launch_ended(world.sent.back().launch, o);
+            desk.attempt_ended(world.sent.back().attempt, o);
             const Sent write = world.sent.back();
             assert(write.query == q && !write.reading);
             QueryIndex whose = 0;
             pass(ms(20));
-            desk.token_came(write.launch, whose);
+            desk.token_came(write.attempt, whose);
             o.ending = Ending::settled;
             o.report.memory_share = write.to == 2 ? 0.97 : 0.1;
             pass(ms(100));
-            desk.launch_ended(write.launch, o);
+            desk.attempt_ended(write.attempt, o);
         }
     }
 };
@@ -147,7 +147,7 @@
         d.pass(ms(20));
         Outcome o;
         o.ending = Ending::error;
-        d.desk.launch_ended(read.launch, o);
+        d.desk.attempt_ended(read.attempt, o);
         d.desk.query_left(q);
     }
     const Differences& n = d.desk.watching()->differences();
