A flood on one stream is written together again

Cause: since writes go out at the end of the event that sent, each piece of a flood cost a call of the system; before, what was sent until the loop looked at the system again went out together. A loop that carried 20,000 tokens a second for a caller that does not read fell behind, and others waited.

Change: what is sent within a millisecond of a write at an event's end goes the former way, with what follows it in the same turn.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -25,7 +25,8 @@
 constexpr std::size_t kUsualRead = 4096;  // past it more is likely to lie in the system
 constexpr Span kMostUnread{10000000};  // what is said to have lain in the system for longer is not believed
 constexpr std::size_t kMostReadAtOnce = 64 << 10;
-constexpr Span kAgainAfter{5000};  // a read or write for which the system lacked memory
+constexpr Span kFloodWithin{1000};  // between writes
+constexpr Span kAgainAfter{5000};   // a read or write for which the system lacked memory
 
 // What a system call may fail with for a while, on a connection that is as sound as before.
 bool passes_by_itself(int error) {
@@ -194,10 +195,12 @@
 
 bool Stream::waits_for_room() const { return (bufferevent_get_enabled(events_) & EV_WRITE) != 0; }
 
-// What is sent within one event goes out in one call of the system.
+// What is sent within one event goes out in one call of the system; of a flood, what is sent until the loop
+// looks at the system again.
 void Stream::write_soon() {
     if (!made_ || write_is_due_ || waits_for_room()) return;
-    if (!loop_.in_event()) {
+    const bool flood = written_at_.us != 0 && loop_.now() - written_at_ < kFloodWithin;
+    if (flood || !loop_.in_event()) {
         bufferevent_enable(events_, EV_WRITE);
         return;
     }
@@ -208,6 +211,7 @@
 void Stream::event_over() {
     write_is_due_ = false;
     if (unsent() == 0 || waits_for_room()) return;
+    written_at_ = loop_.now();
     evbuffer* const out = bufferevent_get_output(events_);
     evbuffer_unfreeze(out, 1);
     const int written = evbuffer_write(out, bufferevent_getfd(events_));
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -60,8 +60,8 @@
     void drain(std::size_t n);
 
     // Written to the system at the end of the present event, as far as it has room; the rest follows as it
-    // gets room. Nothing is sent once the stream has been closed; where the bound on what is unsent is
-    // passed, it closes.
+    // gets room, and what is sent within a millisecond of that in the next turn of the loop. Nothing is sent
+    // once the stream has been closed; where the bound on what is unsent is passed, it closes.
     void send(std::string_view bytes);
     std::size_t unsent() const;
     bool made() const { return made_; }
@@ -112,6 +112,7 @@
          done_ = false;
     bool paused_ = false;
     bool write_is_due_ = false;  // at the end of the present event
+    Instant written_at_;         // by such a write
     int error_ = 0;              // that a read or write of its own has met: the system tells it once
     short stopped_ = 0;          // directions that wait for the system to have memory again
     int stalled_ = 0;
--- a/tests/net/stream_test.cpp
+++ b/tests/net/stream_test.cpp
@@ -120,6 +120,21 @@
     EXPECT_EQ(replier.times_all_sent, 1);
 }
 
+// Against a call of the system for each piece of a flood, which leaves a busy loop no time for the others.
+TEST(Stream, PiecesOfAFloodGoOutTogether) {
+    constexpr int kPieces = 200;
+    Replier replier(10);
+    RawClient peer(replier.listener.address());
+    peer.say("x");
+    replier.run_for(Span{20000});
+    ASSERT_TRUE(replier.stream);
+    replier.times_all_sent = 0;
+    for (int n = 0; n < kPieces; ++n) replier.loop.post([&replier] { replier.stream->send("c"); });
+    replier.run_for(Span{50000});
+    EXPECT_EQ(peer.heard().size(), 10u + kPieces);
+    EXPECT_LE(replier.times_all_sent, 5);
+}
+
 // The system tells a reset once, and the write may be the one that is told.
 TEST(Stream, ResetThatAWriteMeetsIsNoOrderlyEnd) {
     Replier replier(100);
