Releases spread over the list where no server was ever heard from

Cause: servers that were never heard from were told in the order of the list. Where its first half hangs, as in a zone that is cut off, a gateway that has just started tells one of them after the other. Class: an order that means nothing taken as good as any.

Change: those never heard from are visited in steps of 0.618 of the list, so that neighbours are far apart.

--- a/src/node/release_pool.h
+++ b/src/node/release_pool.h
@@ -19,7 +19,7 @@
     virtual ~ReleasePool() = default;
     // False: no further one is wanted.
     using ServerVisitor = std::function<bool(ServerIndex)>;
-    // All servers, those heard from last first.
+    // All servers, those heard from last first; those never heard from follow, spread over the list.
     virtual void visit_by_last_heard(const ServerVisitor& visit) const = 0;
     // Known, and neither gone nor removed.
     virtual bool is_reachable(ServerIndex server) const = 0;
--- a/src/node/upstream_pool.cpp
+++ b/src/node/upstream_pool.cpp
@@ -1,6 +1,7 @@
 #include "node/upstream_pool.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include "core/release_policy.h"
 #include "core/sabotage.h"
@@ -11,11 +12,19 @@
 constexpr std::size_t kMostHead = 8192;
 constexpr std::size_t kMostBody = 64 << 10;   // of an answer that is no stream
 constexpr std::size_t kHeldBytes = 64 << 10;  // of a stream whose events wait
-constexpr int kMostInterim = 100;             // 1xx answers ahead of one
+constexpr double kGoldenPart = 0.618;
+constexpr int kMostInterim = 100;  // 1xx answers ahead of one
 constexpr Span kLookEvery{50000};
 constexpr Span kOverstatedBy{500000};  // where that is sabotaged
 constexpr Span kLookWhileOwed{20000};  // while releases are owed
 
+// Steps of this length visit each of so many places once, and far from those visited last.
+std::size_t spread_step(std::size_t count) {
+    auto step = static_cast<std::size_t>(static_cast<double>(count) * kGoldenPart);
+    while (std::gcd(step, count) != 1) ++step;
+    return step;
+}
+
 }  // namespace
 
 class UpstreamPool::Connection : public Stream::Owner {
@@ -256,13 +265,7 @@
 
 UpstreamPool::~UpstreamPool() = default;
 
-void UpstreamPool::add_upstreams(std::size_t count) {
-    while (upstreams_.size() < count) {
-        heard_order_.push_back(static_cast<ServerIndex>(upstreams_.size()));
-        upstreams_.emplace_back();
-        upstreams_.back().heard_order = std::prev(heard_order_.end());
-    }
-}
+void UpstreamPool::add_upstreams(std::size_t count) { upstreams_.resize(std::max(upstreams_.size(), count)); }
 
 void UpstreamPool::learn(ServerIndex server, const std::string& address, Instant born) {
     add_upstreams(server + 1);
@@ -456,15 +459,27 @@
 void UpstreamPool::heard_from(ServerIndex server) {
     Upstream& upstream = upstreams_[server];
     if (may_hang(server)) upstream.hung_until = loop_.now();
+    if (upstream.heard.us == 0) {
+        upstream.heard_order = heard_order_.insert(heard_order_.begin(), server);
+    } else {
+        heard_order_.splice(heard_order_.begin(), heard_order_, upstream.heard_order);
+    }
     upstream.heard = loop_.now();
     upstream.unanswered_since = {};
-    heard_order_.splice(heard_order_.begin(), heard_order_, upstream.heard_order);
 }
 
 void UpstreamPool::visit_by_last_heard(const ServerVisitor& visit) const {
     for (const ServerIndex server : heard_order_) {
         if (!visit(server)) return;
     }
+    // Neighbours in the list often fail together, as a zone does.
+    const std::size_t count = upstreams_.size(), step = spread_step(count);
+    std::size_t at = 0;
+    for (std::size_t n = 0; n < count; ++n) {
+        at = (at + step) % count;
+        const bool heard = upstreams_[at].heard.us != 0;
+        if (!heard && !visit(static_cast<ServerIndex>(at))) return;
+    }
 }
 
 ReleaseCallId UpstreamPool::start_release(ServerIndex server, const std::string& id) {
--- a/src/node/upstream_pool.h
+++ b/src/node/upstream_pool.h
@@ -100,8 +100,8 @@
         std::uint32_t life =
             0;  // of its process, or its address: connections to an earlier one are of no use
         bool known = false, gone = false;
-        std::vector<Connection*> idle;  // the newest last
-        std::list<ServerIndex>::iterator heard_order;
+        std::vector<Connection*> idle;                 // the newest last
+        std::list<ServerIndex>::iterator heard_order;  // of use once it has been heard from
         std::size_t connections = 0;
         Instant heard;             // when anything last came from it
         Instant unanswered_since;  // of the earliest message written since then; zero: none
@@ -153,7 +153,7 @@
     void add_upstreams(std::size_t count);
 
     std::vector<Upstream> upstreams_;
-    std::list<ServerIndex> heard_order_;    // the server heard from last comes first
+    std::list<ServerIndex> heard_order_;    // those ever heard from; the one heard from last comes first
     std::list<Connection*> resting_order_;  // the connection that has rested for longest comes first
     std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
     std::unordered_map<AttemptId, Connection*> out_;
--- a/tests/node/release_test.cpp
+++ b/tests/node/release_test.cpp
@@ -115,6 +115,28 @@
     EXPECT_LE((w.loop.now() - read_ended).ms(), kHeldAtMost.ms());
 }
 
+// A zone is cut off, and its servers stand first in the list of a gateway that has just started: the release
+// reaches a server of another zone while there is time.
+TEST(Release, ReachesAServerThatRunsWhileTheFirstHalfOfTheListHangs) {
+    constexpr int kOfEachHalf = 100;
+    ScriptedWorld w;
+    StalledReader hung;
+    for (int n = 0; n < 2 * kOfEachHalf; ++n) {
+        const std::string name = "server-" + std::to_string(1000 + n);
+        w.platform.add(name, Role::writer, "z", 1);
+        if (n < kOfEachHalf) w.platform.point(name, hung.address());
+        w.platform.set(name, "draining");
+    }
+    for (const char* name : {"w1", "marker-q1"}) w.platform.point(name, hung.address());
+    w.start(256);
+    auto client = w.client();
+    client->say(w.call(w.fresh(), "4000"));
+    w.prefill.send(w.wait_for_post(w.prefill, 1), prefill_response());
+    const Instant read_ended = w.loop.now();
+    w.until("a release at a server that runs", [&] { return w.platform.count("DELETE") > 0; });
+    EXPECT_LE((w.loop.now() - read_ended).ms(), kHeldAtMost.ms());
+}
+
 // A reset does not take back what lies in the socket of a server that hangs: it may read it later, and leave
 // a state. Once it is heard from again, it is told once more.
 TEST(Release, FollowsAReadThatAHungServerMayTakeUpLater) {
