A hand-over works out each candidate's room once and each cell's part once

Of the profile at 3,200 servers 11% was the choice of a decode server: room twice for each candidate, the part of its cell for each that ties. Both are kept for the choice in hand; draws and comparisons are the same. A connected server is now taken only within the zone of the one drawn as well, as a cell's name may stand in several zones. The drawing is a function of its own.

--- a/src/core/decode_placement.cpp
+++ b/src/core/decode_placement.cpp
@@ -42,6 +42,13 @@
     return std::max(kLeastPart, far_spare_ > 0 ? over * (1 - stays) * spare * left / far_spare_ : 0.0);
 }
 
+// The same for all servers of a cell in a zone, so that one choice works it out once for each.
+double Rules::part_of_place(ServerIndex s, ServerIndex reader) {
+    PartOfCell& known = parts_of_cells_[cell_[s]];
+    if (!known.is_known || known.zone != zone_[s]) known = {true, zone_[s], writer_part(s, reader)};
+    return known.part;
+}
+
 // How far a state goes: within its cell, over the cell's link, or on to another zone.
 std::size_t Rules::way(ServerIndex from, ServerIndex to) const {
     return cell_[from] == cell_[to] ? 0 : zone_[from] == zone_[to] ? 1 : 2;
@@ -69,16 +76,36 @@
     if (is_connected(drawn)) return drawn;
     std::size_t connected = 0;
     lots_.clear();
-    for (const ServerIndex s : candidates_) {
-        if (!is_connected(s) || writer_room(s) < least_room) continue;
+    for (std::size_t n = 0; n < candidates_.size(); ++n) {
+        const ServerIndex s = candidates_[n];
+        if (rooms_[n] < least_room || !is_connected(s)) continue;
         ++connected;
-        if (cell_[s] == cell_[drawn]) lots_.emplace_back(0, s);
+        if (cell_[s] == cell_[drawn] && zone_[s] == zone_[drawn]) lots_.emplace_back(0, s);
     }
     if (connected < kConnectedEnough || lots_.empty()) return drawn;
     const auto place = static_cast<std::size_t>(chance() * static_cast<double>(lots_.size()));
     return lots_[std::min(place, lots_.size() - 1)].second;
 }
 
+// Of the candidates with at least this room, each by its part.
+ServerIndex Rules::draw_among_ties(const Query& q, double least_room) {
+    ServerIndex drawn = candidates_.front();
+    double first = kInfinite;
+    parts_of_cells_.assign(cells_.size(), {});
+    for (std::size_t n = 0; n < candidates_.size(); ++n) {
+        if (rooms_[n] < least_room) continue;
+        const ServerIndex s = candidates_[n];
+        const double chance_of_it = chance(), part = part_of_place(s, q.state_at);
+        // An arrival is at least the number drawn over the part, which spares most of them.
+        if (chance_of_it / part >= first) continue;
+        const double arrival = arrival_at(chance_of_it, part);
+        if (arrival >= first) continue;
+        first = arrival;
+        drawn = s;
+    }
+    return connected_instead(drawn, least_room);
+}
+
 bool Rules::pick_writer(const Query& q, ServerIndex& best) {
     // Against links that are jammed: the state would be there too late, and hold up those behind it.
     std::array<bool, 3> late{};
@@ -93,25 +120,15 @@
         };
         double most = -kInfinite;
         candidates_.clear();
+        rooms_.clear();
         for (const ServerIndex s : decode_candidates()) {
             if (!fit(s)) continue;
             candidates_.push_back(s);
-            most = std::max(most, writer_room(s));
+            rooms_.push_back(writer_room(s));
+            most = std::max(most, rooms_.back());
         }
         if (candidates_.empty()) continue;
-        const double tie = kWriterTie * stream_estimate(q);
-        double first = kInfinite;
-        for (const ServerIndex s : candidates_) {
-            if (writer_room(s) < most - tie) continue;
-            const double drawn = chance(), part = writer_part(s, q.state_at);
-            // An arrival is at least the number drawn over the part, which spares most of them.
-            if (drawn / part >= first) continue;
-            const double arrival = arrival_at(drawn, part);
-            if (arrival >= first) continue;
-            first = arrival;
-            best = s;
-        }
-        best = connected_instead(best, most - tie);
+        best = draw_among_ties(q, most - kWriterTie * stream_estimate(q));
         return tell(q, best, false, pass == 0 ? "most free memory" : "no open writer shows room");
     }
     return false;
--- a/src/core/rules.h
+++ b/src/core/rules.h
@@ -182,6 +182,7 @@
     bool pick_reader(const Query& q, ServerIndex& best);
     bool pick_writer(const Query& q, ServerIndex& best);
     bool is_connected(ServerIndex s) const;
+    ServerIndex draw_among_ties(const Query& q, double least_room);
     ServerIndex connected_instead(ServerIndex drawn, double least_room);
 
     double chance();
@@ -192,6 +193,7 @@
     ServerIndex home_of(const Query& q, double readers);
     std::size_t home_place(const Query& q, double readers) const;
     double writer_part(ServerIndex s, ServerIndex reader) const;
+    double part_of_place(ServerIndex s, ServerIndex reader);
     std::size_t way(ServerIndex from, ServerIndex to) const;
     void note_hand_over(const Query& q, Span took);
     double hand_over_time(std::size_t w) const;
@@ -261,6 +263,14 @@
     std::vector<std::uint32_t> cell_, life_;
     std::vector<std::uint64_t> mark_;
     std::vector<ServerIndex> candidates_;  // of the choice in hand
+    // Of the choice of a decode server in hand: the candidates' room, and parts by cell.
+    std::vector<double> rooms_;
+    struct PartOfCell {
+        bool is_known = false;
+        std::uint16_t zone = 0;
+        double part = 0;
+    };
+    std::vector<PartOfCell> parts_of_cells_;
     // Ready servers by role, with mixed ones in both; and of these, those that may be sent something now.
     std::vector<ServerIndex> ready_prefill_, ready_decode_, cold_;
     ServerSubset prefill_candidates_, decode_candidates_, servers_with_room_;
