--- a/src/soak/soak_run.cpp
+++ b/src/soak/soak_run.cpp
@@ -314,8 +314,9 @@
         }
         wait_for(
             loop, [] { return false; }, kMs * (options.quiet_seconds * 1000));
-        if (options.discovery_out_seconds > 0)
+        if (options.discovery_out_seconds > 0) {
             fleet.silence_discovery(kMs * (options.discovery_out_seconds * 1000));
+        }
         FaultSchedule faults(loop, fleet, records, options.seed, options.listed_servers > 0);
         faults.start();
         wait_for(
--- a/tests/explore/hold_world.cpp
+++ b/tests/explore/hold_world.cpp
@@ -274,8 +274,9 @@
             add("reset half sent", [this, attempt_id] { end_attempt(attempt_id, Ending::broken); });
             return;
         case Phase::streaming:
-            if (runs_now)
+            if (runs_now) {
                 add("stream ended", [this, attempt_id] { end_attempt(attempt_id, Ending::settled); });
+            }
             add("stream broke", [this, attempt_id] { end_attempt(attempt_id, Ending::broken); });
             return;
     }
