What is dropped within the event that sent it never leaves

What callers could have seen: an attempt that was taken back in the event that sent it counted as never sent, so another one might follow; its request went out all the same, and a reset after it. For a class without repeats that is an effect twice.

Cause: writes at the end of an event (new, not released) did not look whether their stream had been reset or handed off without its rest meanwhile; before, such bytes never reached a turn of the loop.

Change: a stream that is dropped takes its due write back.

Evidence: new test, reset and close: 10 bytes too many at the peer before, none now.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -61,7 +61,7 @@
 
 Stream::~Stream() {
     *alive_ = false;
-    if (write_is_due_) loop_.forget(*this);
+    take_back_write();
     if (events_) bufferevent_free(events_);
 }
 
@@ -208,6 +208,11 @@
     loop_.after_event(*this);
 }
 
+// Against bytes of what has been dropped: whoever drops it counts them as never sent.
+void Stream::take_back_write() {
+    if (std::exchange(write_is_due_, false)) loop_.forget(*this);
+}
+
 void Stream::event_over() {
     write_is_due_ = false;
     if (unsent() == 0 || waits_for_room()) return;
@@ -242,6 +247,7 @@
     if (!stream) return;
     stream->owner_ = nullptr;
     if (!flush || stream->closed_ || !stream->made_ || stream->unsent() == 0) {
+        stream->take_back_write();
         loop.bury(std::move(stream));
         return;
     }
@@ -258,6 +264,7 @@
     if (!stream) return;
     stream->owner_ = nullptr;
     if (stream->closed_ || !stream->made_) {
+        stream->take_back_write();
         loop.bury(std::move(stream));
         return;
     }
@@ -284,6 +291,7 @@
 void Stream::reset(Loop& loop, std::unique_ptr<Stream> stream) {
     if (!stream) return;
     stream->owner_ = nullptr;
+    stream->take_back_write();
     const linger now{1, 0};
     if (const int fd = bufferevent_getfd(stream->events_); fd >= 0)
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -99,6 +99,7 @@
     void read_more();
     bool waits_for_room() const;
     void write_soon();
+    void take_back_write();
     void event_over() override;
     void all_written();
     void go_on_soon(short what);
--- a/tests/net/stream_test.cpp
+++ b/tests/net/stream_test.cpp
@@ -120,6 +120,27 @@
     EXPECT_EQ(replier.times_all_sent, 1);
 }
 
+// An attempt that is taken back counts as never sent, so that another one may follow.
+TEST(Stream, WhatIsDroppedWithinTheEventThatSentItNeverLeaves) {
+    for (const bool reset : {true, false}) {
+        Replier replier(10);
+        RawClient peer(replier.listener.address());
+        peer.say("x");
+        replier.run_for(Span{20000});
+        ASSERT_TRUE(replier.stream);
+        {
+            const Loop::Event event(replier.loop, "test");
+            replier.stream->send("taken back");
+            if (reset)
+                Stream::reset(replier.loop, std::move(replier.stream));
+            else
+                Stream::hand_off(replier.loop, std::move(replier.stream), false);
+        }
+        replier.run_for(Span{20000});
+        EXPECT_EQ(peer.heard().size(), 10u) << (reset ? "reset" : "closed");
+    }
+}
+
 // Against a call of the system for each piece of a flood, which leaves a busy loop no time for the others.
 TEST(Stream, PiecesOfAFloodGoOutTogether) {
     constexpr int kPieces = 200;
