An answer of a server's former process does not make the new one connected

Ties between decode servers go to those to which a connection is likely to rest. What came from a process that has since been replaced (or from a server whose index now names another) counted as well. Now only what the present process answered does. Seen by reading; it concerns ties alone and has no test of its own.

--- a/src/core/rules.cpp
+++ b/src/core/rules.cpp
@@ -192,8 +192,9 @@
     now_ = host_.now();
     Query& q = queries_[i];
     const ServerIndex s = q.server;
-    heard_at_[s] = connected_at_[s] = now_;
+    heard_at_[s] = now_;
     if (q.server_life == life_[s]) {
+        connected_at_[s] = now_;
         change_waiting(s, -1);
         unread_[s] = std::max(0.0, unread_[s] - q.read_tokens);
     }
@@ -230,7 +231,8 @@
     const bool local =
         e == Ending::retracted || e == Ending::late || e == Ending::unreachable || e == Ending::unsent;
     if (!local) heard_at_[s] = now_;
-    if (!local) connected_at_[s] = e == Ending::broken ? Instant{} : now_;
+    const bool same_process = q.server_life == life_[s];
+    if (!local && same_process) connected_at_[s] = e == Ending::broken ? Instant{} : now_;
     if (e == Ending::unreachable) shut_out(s, true);
     if (e == Ending::error || e == Ending::late || (e == Ending::broken && !outcome.stale)) note_bad(s);
     if (e == Ending::full && !outcome.no_state) {
