The order of servers that were never heard from stands in release_policy

It is a decision with a value of its own, and stood among the connections. Moved without change; a test shows for each size up to 3,300 that every entry is visited once and both halves of the list within four steps.

--- a/src/core/release_policy.cpp
+++ b/src/core/release_policy.cpp
@@ -1,6 +1,19 @@
 #include "release_policy.h"
 
+#include <numeric>
+
 namespace copperfront::release_policy {
+namespace {
+
+constexpr double kGoldenPart = 0.618;
+
+}  // namespace
+
+std::size_t step_through_list(std::size_t entries) {
+    auto step = static_cast<std::size_t>(static_cast<double>(entries) * kGoldenPart);
+    while (std::gcd(step, entries) != 1) ++step;
+    return step;
+}
 
 bool may_end_late(const UnheardAttemptServer& server) {
     const bool silent_since = server.last_heard <= server.attempt_over;
--- a/src/core/release_policy.h
+++ b/src/core/release_policy.h
@@ -34,6 +34,10 @@
 inline constexpr Span kFirstReleaseAfter{250000}, kNextReleaseAfter{700000};
 inline constexpr std::uint32_t kMostAnswersOfPrefill = 4, kMostAnswersOfHandOver = 2;
 
+// Servers that were never heard from are told in steps of this length through the list, of so many entries:
+// each once, and far from those told last, as neighbours often fail together, like a zone.
+std::size_t step_through_list(std::size_t entries);
+
 // What is known of the server of an attempt that ended unheard.
 struct UnheardAttemptServer {
     Instant attempt_over, last_heard;  // last_heard zero: never
--- a/src/node/upstream_pool.cpp
+++ b/src/node/upstream_pool.cpp
@@ -1,7 +1,6 @@
 #include "node/upstream_pool.h"
 
 #include <algorithm>
-#include <numeric>
 
 #include "core/release_policy.h"
 #include "core/sabotage.h"
@@ -12,19 +11,11 @@
 constexpr std::size_t kMostHead = 8192;
 constexpr std::size_t kMostBody = 64 << 10;   // of an answer that is no stream
 constexpr std::size_t kHeldBytes = 64 << 10;  // of a stream whose events wait
-constexpr double kGoldenPart = 0.618;
-constexpr int kMostInterim = 100;  // 1xx answers ahead of one
+constexpr int kMostInterim = 100;             // 1xx answers ahead of one
 constexpr Span kLookEvery{50000};
 constexpr Span kOverstatedBy{500000};  // where that is sabotaged
 constexpr Span kLookWhileOwed{20000};  // while releases are owed
 
-// Steps of this length visit each of so many places once, and far from those visited last.
-std::size_t spread_step(std::size_t count) {
-    auto step = static_cast<std::size_t>(static_cast<double>(count) * kGoldenPart);
-    while (std::gcd(step, count) != 1) ++step;
-    return step;
-}
-
 }  // namespace
 
 class UpstreamPool::Connection : public Stream::Owner {
@@ -472,8 +463,7 @@
     for (const ServerIndex server : heard_order_) {
         if (!visit(server)) return;
     }
-    // Neighbours in the list often fail together, as a zone does.
-    const std::size_t count = upstreams_.size(), step = spread_step(count);
+    const std::size_t count = upstreams_.size(), step = release_policy::step_through_list(count);
     std::size_t at = 0;
     for (std::size_t n = 0; n < count; ++n) {
         at = (at + step) % count;
--- a/tests/core/helpers_test.cpp
+++ b/tests/core/helpers_test.cpp
@@ -3,6 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <vector>
+
+#include "core/release_policy.h"
+
 namespace copperfront {
 namespace {
 
@@ -20,5 +25,24 @@
     }
 }
 
+TEST(StepThroughList, VisitsEachEntryOnceAndLeavesAHalfOfTheListAtOnce) {
+    for (std::size_t entries = 1; entries <= 3300; ++entries) {
+        const std::size_t step = release_policy::step_through_list(entries);
+        std::vector<bool> visited(entries, false);
+        std::size_t at = 0;
+        for (std::size_t n = 0; n < entries; ++n) {
+            at = (at + step) % entries;
+            visited[at] = true;
+            if (entries >= 16 && n == 3) {
+                const auto middle = visited.begin() + static_cast<std::ptrdiff_t>(entries / 2);
+                EXPECT_TRUE(std::count(visited.begin(), middle, true) > 0 &&
+                            std::count(middle, visited.end(), true) > 0)
+                    << entries;
+            }
+        }
+        EXPECT_EQ(static_cast<std::size_t>(std::count(visited.begin(), visited.end(), true)), entries);
+    }
+}
+
 }  // namespace
 }  // namespace copperfront
