Judge: no slack on top of the six seconds in which a drain counts as told

When the judge learned to count a drain from what discovery wrote, the protocol's 50 ms came on top of the older bound of six seconds too, which had none: 50 ms milder than before. It is given to the written list alone again; the case of the test is as much stricter and failed before.

--- a/src/soak/judge.cpp
+++ b/src/soak/judge.cpp
@@ -343,15 +343,16 @@
         }
     }
 
-    // When the gateway of a request was told of a change, or counts as told.
-    Microseconds told_at(const Story& story, const FaultSpan& change) const {
-        Microseconds at = change.from + kToldWithin;
+    // Until when an attempt may be sent to a server that is withdrawn: its gateway was told of it, or counts
+    // as told.
+    Microseconds latest_send(const Story& story, const FaultSpan& change) const {
+        Microseconds at = change.from + kToldWithin + kDrainGrace;
         if (story.client == nullptr || change.list_index == 0) return at;
         const GatewayLife* const life = life_of(*story.client);
         const Microseconds started = life != nullptr ? life->started : 0;
         for (const ListWritten& list : records_.told) {
             if (list.gateway != story.client->gateway || list.index < change.list_index) continue;
-            if (list.at >= started) at = std::min(at, list.at);
+            if (list.at >= started) at = std::min(at, list.at + kDrainGrace + kDrainSlack);
         }
         return at;
     }
@@ -362,7 +363,7 @@
             if (spans == records_.withdrawn.end()) continue;
             const Microseconds at = attempt.arrived->at;
             for (const FaultSpan& span : spans->second) {
-                const Microseconds latest = told_at(story, span) + kDrainGrace + kDrainSlack + kMachineSlack;
+                const Microseconds latest = latest_send(story, span) + kMachineSlack;
                 if (at > latest && at < span.until &&
                     !is_troubled(attempt.arrived->server, at - kOnTheWay, at)) {
                     find("drain", id, "sent " + std::to_string((at - span.from) / kMs) + " ms after a drain");
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -172,10 +172,12 @@
 }
 
 TEST(DrainJudge, CountsFromTheLatestTimeWhereNothingWasWritten) {
+    // The protocol's 50 ms are not given on top of the six seconds.
+    constexpr Microseconds kLatest = 6000 * kMs + kDrainAtMost - 50 * kMs;
     for (const std::size_t gateway : {std::size_t{0}, std::size_t{1}}) {
         const Microseconds written = gateway == 0 ? -1 : 100 * kMs;  // to another gateway
-        EXPECT_FALSE(is_late_for_drain(6000 * kMs + kDrainAtMost, written, gateway));
-        EXPECT_TRUE(is_late_for_drain(6000 * kMs + kDrainAtMost + kMs, written, gateway));
+        EXPECT_FALSE(is_late_for_drain(kLatest, written, gateway));
+        EXPECT_TRUE(is_late_for_drain(kLatest + kMs, written, gateway));
     }
 }
 
