Limits test looks at the very count; a configuration cut by a read error is told; doubles

The count of lines left out was looked for anywhere in the log, where a time or an id could hold it. A file whose reading fails half way was taken for a short one. Two release tests share what they have in common; a comment of the shim said less than its constants.

--- a/src/cli/node_command.cpp
+++ b/src/cli/node_command.cpp
@@ -37,7 +37,7 @@
     }
 }
 
-// Throws BadInput past the bound, without holding more than that.
+// Throws BadInput past the bound, without holding more than that, or where the system stops reading.
 std::string read_whole(std::istream& file) {
     std::string text;
     std::array<char, kReadAtOnce> piece{};
@@ -45,6 +45,7 @@
         text.append(piece.data(), static_cast<std::size_t>(file.gcount()));
         if (text.size() > kMostFile) throw platform::BadInput("longer than 64 MB");
     }
+    if (file.bad()) throw platform::BadInput("cannot be read to its end");
     return text;
 }
 
--- a/tests/node/limits_test.cpp
+++ b/tests/node/limits_test.cpp
@@ -91,7 +91,7 @@
     std::filesystem::remove(file);
     EXPECT_EQ(lines_with(text, "no server"), static_cast<std::size_t>(kMostASecond) + 1);
     EXPECT_EQ(lines_with(text, "lines left out"), 1u);
-    EXPECT_NE(text.find(std::to_string(kMore)), std::string::npos);
+    EXPECT_EQ(lines_with(text, "count=" + std::to_string(kMore)), 1u) << text;
     EXPECT_EQ(lines_with(text, "late"), 1u);
 }
 
--- a/tests/node/release_test.cpp
+++ b/tests/node/release_test.cpp
@@ -92,6 +92,17 @@
     EXPECT_LE((w.loop.now() - reset_at).ms(), kHeldAtMost.ms());
 }
 
+// A prefill ends well, its server and the decode server hang from then on, and a release reaches one that
+// runs.
+void expect_release_at_a_running_server(ScriptedWorld& w) {
+    auto client = w.client();
+    client->say(w.call(w.fresh(), "4000"));
+    w.prefill.send(w.wait_for_post(w.prefill, 1), prefill_response());
+    const Instant read_ended = w.loop.now();
+    w.until("a release at a server that runs", [&] { return w.platform.count("DELETE") > 0; });
+    EXPECT_LE((w.loop.now() - read_ended).ms(), kHeldAtMost.ms());
+}
+
 // Most of a fleet hangs: the release reaches a server that runs while there is time.
 TEST(Release, ReachesAServerThatRunsWhileMostHang) {
     ScriptedWorld w;
@@ -105,14 +116,8 @@
     }
     w.platform.point("w1", hung[0]->address());
     w.wait_for_list();
-    auto client = w.client();
-    client->say(w.call(w.fresh(), "4000"));
-    w.prefill.send(w.wait_for_post(w.prefill, 1), prefill_response());
-    const Instant read_ended = w.loop.now();
-    // The server that holds the state hangs from now on as well; of all the others only those by which the
-    // test follows the list answer.
-    w.until("a release at a server that runs", [&] { return w.platform.count("DELETE") > 0; });
-    EXPECT_LE((w.loop.now() - read_ended).ms(), kHeldAtMost.ms());
+    // Only the servers by which the test follows the list answer.
+    expect_release_at_a_running_server(w);
 }
 
 // A zone is cut off, and its servers stand first in the list of a gateway that has just started: the release
@@ -129,12 +134,7 @@
     }
     for (const char* name : {"w1", "marker-q1"}) w.platform.point(name, hung.address());
     w.start(256);
-    auto client = w.client();
-    client->say(w.call(w.fresh(), "4000"));
-    w.prefill.send(w.wait_for_post(w.prefill, 1), prefill_response());
-    const Instant read_ended = w.loop.now();
-    w.until("a release at a server that runs", [&] { return w.platform.count("DELETE") > 0; });
-    EXPECT_LE((w.loop.now() - read_ended).ms(), kHeldAtMost.ms());
+    expect_release_at_a_running_server(w);
 }
 
 // A reset does not take back what lies in the socket of a server that hangs: it may read it later, and leave
--- a/tests/soak/fault_shim.cpp
+++ b/tests/soak/fault_shim.cpp
@@ -40,7 +40,7 @@
 constexpr std::uint64_t kSlicesOfClockStep = 10;
 constexpr std::uint64_t kNanosecondsPerSecond = 1000000000;
 constexpr long kMicrosecondsPerSecond = 1000000;
-// The first fault of each call comes by this one of its calls at the latest.
+// The first fault of each call comes after so many of its calls, and within so many more at the latest.
 constexpr std::uint64_t kFirstFaultAfter = 8;
 constexpr std::uint64_t kFirstFaultWithin = 16;
 
