--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -57,6 +57,7 @@
 Loop::Event::Event(Loop& loop, const char* what) : loop_(loop) {
     if (loop.event_depth_++ > 0) return;
     loop.event_began_ = machine_clock_us();
+    loop.event_cpu_began_ = read_clock(CLOCK_THREAD_CPUTIME_ID);
     loop.event_name_ = what;
 }
 
@@ -64,7 +65,18 @@
     if (loop_.event_depth_ == 1) loop_.run_after_event();
     if (--loop_.event_depth_ > 0) return;
     const Span took{machine_clock_us() - loop_.event_began_};
-    if (took > loop_.longest_event_.took) loop_.longest_event_ = {took, loop_.event_name_};
+    LongestEvents& longest = loop_.longest_events_;
+    if (took > longest.took) {
+        longest.took = took;
+        longest.longest = loop_.event_name_;
+    }
+    // No event uses more CPU time than it took; reading that clock is a system call.
+    if (took <= longest.cpu) return;
+    const Span cpu{read_clock(CLOCK_THREAD_CPUTIME_ID) - loop_.event_cpu_began_};
+    if (cpu > longest.cpu) {
+        longest.cpu = cpu;
+        longest.busiest = loop_.event_name_;
+    }
 }
 
 // Those that are called may add others.
@@ -81,7 +93,7 @@
         nullptr);
 }
 
-Loop::LongestEvent Loop::take_longest_event() { return std::exchange(longest_event_, {}); }
+Loop::LongestEvents Loop::take_longest_events() { return std::exchange(longest_events_, {}); }
 
 void Loop::run() { event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY); }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -59,12 +59,15 @@
     void after_event(AfterEvent& who) { after_event_.push_back(&who); }
     void forget(const AfterEvent& who);
 
-    // The longest event since the last call, and what it was.
-    struct LongestEvent {
+    // Of all events since the last call: the one that took longest, in which the system may have held the
+    // process up, and the one that used most CPU time, which is work of the process itself.
+    struct LongestEvents {
         Span took;
-        const char* what = "";
+        const char* longest = "";
+        Span cpu;
+        const char* busiest = "";
     };
-    LongestEvent take_longest_event();
+    LongestEvents take_longest_events();
     // The present event is named more closely.
     void name_event(const char* what) { event_name_ = what; }
 
@@ -109,8 +112,9 @@
     int event_depth_ = 0;
     std::vector<AfterEvent*> after_event_;  // null: forgotten
     const char* event_name_ = "";
-    std::int64_t event_began_ = 0;  // on the steady clock
-    LongestEvent longest_event_;
+    std::int64_t event_began_ = 0;      // on the steady clock
+    std::int64_t event_cpu_began_ = 0;  // of this thread
+    LongestEvents longest_events_;
 };
 
 // A timer that can be set again and called off; off at first and once it has rung.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -469,12 +469,14 @@
 
 void Node::log_status() {
     const Instant now = loop_.now();
-    const Loop::LongestEvent longest = loop_.take_longest_event();
+    const Loop::LongestEvents events = loop_.take_longest_events();
     const Discovery::Status& list = discovery_->status();
     const Rules::Waiting waiting = desk_->waiting();
     GatewayStatus status;
-    status.longest_event = longest.what;
-    status.longest_event_took = longest.took;
+    status.longest_event = events.longest;
+    status.longest_event_took = events.took;
+    status.busiest_event = events.busiest;
+    status.busiest_event_cpu = events.cpu;
     status.cpu = cpu_used();
     status.requests_came = desk_->tally().came;
     status.requests_open = desk_->open_queries();
--- a/src/node/status_log.cpp
+++ b/src/node/status_log.cpp
@@ -31,6 +31,7 @@
         log_.say(Weight::warn, "status", "one turn of the loop took long",
                  {{"event", std::string(status.longest_event)},
                   {"took_ms", status.longest_event_took.ms()},
+                  {"busiest_event_cpu_ms", status.busiest_event_cpu.ms()},
                   {"cpu_ms", cpu.ms()}});
     }
     if (!changed) return;
@@ -38,6 +39,8 @@
              {{"seconds", since_last.ms() / 1000},
               {"longest_event", std::string(status.longest_event)},
               {"longest_event_ms", status.longest_event_took.ms()},
+              {"busiest_event", std::string(status.busiest_event)},
+              {"busiest_event_cpu_ms", status.busiest_event_cpu.ms()},
               {"cpu_ms", cpu.ms()},
               {"requests_came", number(status.requests_came)},
               {"requests_open", number(status.requests_open)},
--- a/src/node/status_log.h
+++ b/src/node/status_log.h
@@ -14,6 +14,8 @@
 struct GatewayStatus {
     const char* longest_event = "";  // what the loop did for longest without a break
     Span longest_event_took;
+    const char* busiest_event = "";  // what used most CPU time without a break
+    Span busiest_event_cpu;
     Span cpu;  // of the process since its start
     std::uint64_t requests_came = 0;
     std::size_t requests_open = 0, requests_waiting = 0;
