Answers of a server's successor say nothing of an attempt at the one before it

Cause: what is owed to a server was kept by index alone. After the change the new process was asked in place of the old one, and its four answers ended the follow-up; whatever was heard from it also counted as heard from the old one, so that an attempt might not be followed at all. The new process in turn inherited "may hang" from the old one.

Evidence: both cases of ReplacedServer.IsStillFollowedForItsLateRead failed before ("never came about: a release elsewhere", 5 s after the change).

Change: the pool tells since when a server has had its address. What was heard from an address is forgotten with it, and connections to an earlier process count for nothing.

--- a/src/core/hold_ledger.cpp
+++ b/src/core/hold_ledger.cpp
@@ -146,7 +146,7 @@
     }
     request.quiet_from = std::max(request.quiet_from, now + SendGuard::close_travel_time());
     request.once_more = true;
-    request.unheard.push_back({attempt.server, attempt.prefill, now});
+    request.unheard.push_back({attempt.server, attempt.prefill, attempt.started, now});
 }
 
 void HoldLedger::drop_if_settled(RequestKey key) {
--- a/src/core/hold_ledger.h
+++ b/src/core/hold_ledger.h
@@ -59,7 +59,7 @@
     struct UnheardAttempt {
         ServerIndex server = 0;
         bool prefill = false;
-        Instant over_at;
+        Instant started, over_at;
     };
 
     // ---- attempts
--- a/src/core/release_policy.cpp
+++ b/src/core/release_policy.cpp
@@ -15,7 +15,10 @@
     return step;
 }
 
+bool has_moved(Instant attempt_started, Instant address_since) { return address_since > attempt_started; }
+
 bool may_end_late(const UnheardAttemptServer& server) {
+    if (has_moved(server.attempt_started, server.address_since)) return true;
     const bool silent_since = server.last_heard <= server.attempt_over;
     const bool has_hung = server.hung_until > server.attempt_over;
     return silent_since || has_hung;
--- a/src/core/release_policy.h
+++ b/src/core/release_policy.h
@@ -40,11 +40,16 @@
 
 // What is known of the server of an attempt that ended unheard.
 struct UnheardAttemptServer {
-    Instant attempt_over, last_heard;  // last_heard zero: never
-    Instant hung_until;                // zero: it never has
+    Instant attempt_started, attempt_over;
+    Instant address_since;  // when it was first known at its present address
+    Instant last_heard;     // at that address; zero: never
+    Instant hung_until;     // the same; zero: it never has
 };
-// Whether the attempt may still be taken up or end there: the server hangs, or it did when the attempt ended,
-// and may be busy with what it had in hand then.
+// Whether the attempt went to another address than its server has now. What ran there may run on, and what
+// the present process answers says nothing of it.
+bool has_moved(Instant attempt_started, Instant address_since);
+// Whether the attempt may still be taken up or end there: the server hangs, or it did when the attempt ended
+// and may be busy with what it had in hand then, or it has another address by now.
 bool may_end_late(const UnheardAttemptServer& server);
 
 }  // namespace copperfront::release_policy
--- a/src/node/late_attempts.cpp
+++ b/src/node/late_attempts.cpp
@@ -33,8 +33,13 @@
     return attempt.answered >= most || clock_.now() > attempt.until;
 }
 
+bool LateAttempts::is_there(const Attempt& attempt) const {
+    const ServerIndex server = attempt.what.server;
+    return pool_.is_reachable(server) && !has_moved(attempt.what.started, pool_.address_since(server));
+}
+
 void LateAttempts::note_removal(Attempt& attempt) {
-    if (pool_.is_reachable(attempt.what.server)) {
+    if (is_there(attempt)) {
         attempt.removed_at = {};
     } else if (attempt.removed_at.us == 0) {
         attempt.removed_at = clock_.now();
--- a/src/node/late_attempts.h
+++ b/src/node/late_attempts.h
@@ -2,8 +2,8 @@
 // the call in its socket, or in hand: a reset does not take that back. Once it runs again a prefill leaves a
 // state that nobody wants, and a hand-over has waited for one up to then. So the server is asked with a
 // release until it answers, and told again while the attempt may still end; meanwhile another server is told
-// in steps shorter than a state may be held. A server that the list no longer has may run on as well; it
-// can't be asked, so others are told for a while.
+// in steps shorter than a state may be held. A server that the list no longer has, or has at another address,
+// may run on as well; it can't be asked, so others are told for a while.
 #pragma once
 
 #include <cstdint>
@@ -27,6 +27,7 @@
         RequestKey key = 0;
         std::string id;  // of the request
         bool prefill = false;
+        Instant started;
     };
     void follow(const Followed& attempt);
     // False: the call is none of these.
@@ -41,7 +42,7 @@
     struct Attempt {
         Followed what;
         Instant until, next_at, asked_at;
-        Instant removed_at;      // when its server was first seen to be out of the list; zero: it is not
+        Instant removed_at;      // when its server was first seen not to be there any more; zero: it is there
         ReleaseCallId call = 0;  // to its own server
         ReleaseCallId other_call = 0;  // to another one
         Instant other_at;
@@ -52,6 +53,8 @@
     bool find_another(ServerIndex than, ServerIndex& found) const;
     void cancel(ReleaseCallId& call);
     bool is_over(const Attempt& attempt) const;
+    // Whether its server is still in the list, at the address to which it was sent.
+    bool is_there(const Attempt& attempt) const;
     void stop_asking(Attempt& attempt);
     void note_removal(Attempt& attempt);
 
--- a/src/node/release_pool.h
+++ b/src/node/release_pool.h
@@ -23,7 +23,9 @@
     virtual void visit_by_last_heard(const ServerVisitor& visit) const = 0;
     // Known, and neither gone nor removed.
     virtual bool is_reachable(ServerIndex server) const = 0;
-    // When anything last came from it; zero: never.
+    // When it was first known at its present address.
+    virtual Instant address_since(ServerIndex server) const = 0;
+    // When anything last came from that address; zero: never.
     virtual Instant last_heard(ServerIndex server) const = 0;
     // It leaves something unanswered for so long that it may hang.
     virtual bool may_hang(ServerIndex server) const = 0;
--- a/src/node/releases.cpp
+++ b/src/node/releases.cpp
@@ -161,10 +161,16 @@
     cancel_calls(release);
     if (is_sabotaged(Sabotage::late_attempts_not_followed)) return;
     for (const HoldLedger::UnheardAttempt& attempt : result.unheard) {
-        const UnheardAttemptServer server{attempt.over_at, pool_.last_heard(attempt.server),
-                                          pool_.hung_until(attempt.server)};
+        const UnheardAttemptServer server{
+            .attempt_started = attempt.started,
+            .attempt_over = attempt.over_at,
+            .address_since = pool_.address_since(attempt.server),
+            .last_heard = pool_.last_heard(attempt.server),
+            .hung_until = pool_.hung_until(attempt.server),
+        };
         if (may_end_late(server)) {
-            late_attempts_.follow({attempt.server, release.key, release.id, attempt.prefill});
+            late_attempts_.follow(
+                {attempt.server, release.key, release.id, attempt.prefill, attempt.started});
         }
     }
 }
--- a/src/node/upstream_pool.cpp
+++ b/src/node/upstream_pool.cpp
@@ -28,7 +28,8 @@
     }
 
     ServerIndex server() const { return server_; }
-    std::uint32_t life() const { return life_; }
+    // And not to one before it under the same index.
+    bool is_to_present_process() const { return life_ == all_.upstreams_[server_].life; }
     Use use() const { return use_; }
     AttemptId attempt() const { return attempt_; }
     bool never_sent() const { return !stream_->made() || stream_->unsent() > 0; }
@@ -76,7 +77,7 @@
 
     void stream_made(Stream&) override { write(); }
     void bytes_came(Stream&) override {
-        all_.heard_from(server_);
+        if (is_to_present_process()) all_.heard_from(server_);
         // Against a second answer that comes late: the next request would take it for its own.
         if (use_ == Use::none) return all_.drop(*this, false);
         if (use_ == Use::attempt && answer_began_.us == 0) {
@@ -125,8 +126,8 @@
     void write() {
         const Call call = std::exchange(call_, {});
         if (call.before.empty()) return;
-        if (Instant& since = all_.upstreams_[server_].unanswered_since; since.us == 0)
-            since = all_.loop_.now();
+        Instant& since = all_.upstreams_[server_].unanswered_since;
+        if (since.us == 0 && is_to_present_process()) since = all_.loop_.now();
         if (use_ == Use::release) return stream_->send(call.before);
         Span left = call.until - all_.loop_.now();
         if (is_sabotaged(Sabotage::deadline_overstated)) left = left + kOverstatedBy;
@@ -263,8 +264,12 @@
     Upstream& upstream = upstreams_[server];
     upstream.gone = false;
     if (upstream.known && upstream.text == address && upstream.born == born) return;
-    upstream.address = Address::parse(address);
-    upstream.text = address;
+    if (upstream.text != address) {
+        upstream.address = Address::parse(address);
+        upstream.text = address;
+        upstream.address_since = loop_.now();
+        forget_what_was_heard(upstream);
+    }
     upstream.born = born;
     upstream.known = true;
     // Against connections to a process that is no more, also ones that have yet to come up.
@@ -427,7 +432,7 @@
 
 void UpstreamPool::rest(Connection& connection) {
     Upstream& upstream = upstreams_[connection.server()];
-    if (!connection.is_reusable() || upstream.gone || connection.life() != upstream.life) {
+    if (!connection.is_reusable() || upstream.gone || !connection.is_to_present_process()) {
         connection.rest();
         return drop(connection, false);
     }
@@ -447,6 +452,11 @@
     return since.us != 0 && loop_.now() - since >= release_policy::kMayHangAfter;
 }
 
+void UpstreamPool::forget_what_was_heard(Upstream& upstream) {
+    if (upstream.heard.us != 0) heard_order_.erase(upstream.heard_order);
+    upstream.heard = upstream.unanswered_since = upstream.hung_until = {};
+}
+
 void UpstreamPool::heard_from(ServerIndex server) {
     Upstream& upstream = upstreams_[server];
     if (may_hang(server)) upstream.hung_until = loop_.now();
--- a/src/node/upstream_pool.h
+++ b/src/node/upstream_pool.h
@@ -96,6 +96,7 @@
     struct Upstream {
         Address address;
         std::string text;
+        Instant address_since;  // when it was first known there
         Instant born;
         std::uint32_t life =
             0;  // of its process, or its address: connections to an earlier one are of no use
@@ -108,6 +109,7 @@
         Instant hung_until;
     };
     void heard_from(ServerIndex server);
+    void forget_what_was_heard(Upstream& upstream);
     Connection* connection_to(ServerIndex server);
     Connection* take_idle(Upstream& upstream);
     void drop(Connection& connection, bool reset);
@@ -134,6 +136,7 @@
     void visit_by_last_heard(const ServerVisitor& visit) const override;
     bool is_reachable(ServerIndex server) const override;
     Instant last_heard(ServerIndex server) const override { return upstreams_[server].heard; }
+    Instant address_since(ServerIndex server) const override { return upstreams_[server].address_since; }
     bool may_hang(ServerIndex server) const override;
     Instant hung_until(ServerIndex server) const override { return upstreams_[server].hung_until; }
     ReleaseCallId start_release(ServerIndex server, const std::string& id) override;
--- a/tests/explore/hold_world.h
+++ b/tests/explore/hold_world.h
@@ -103,6 +103,7 @@
     // ---- ReleasePool
     void visit_by_last_heard(const ServerVisitor& visit) const override;
     bool is_reachable(ServerIndex) const override { return true; }
+    Instant address_since(ServerIndex) const override { return {}; }
     Instant last_heard(ServerIndex server) const override { return heard_[server]; }
     bool may_hang(ServerIndex server) const override { return hung_.count(server) > 0; }
     Instant hung_until(ServerIndex server) const override { return hung_until_[server]; }
--- a/tests/node/limits_test.cpp
+++ b/tests/node/limits_test.cpp
@@ -34,6 +34,7 @@
         if (visit(1)) visit(0);
     }
     bool is_reachable(ServerIndex) const override { return true; }
+    Instant address_since(ServerIndex) const override { return {}; }
     Instant last_heard(ServerIndex) const override { return {}; }
     bool may_hang(ServerIndex server) const override { return server == 0; }
     Instant hung_until(ServerIndex) const override { return {}; }
@@ -54,7 +55,8 @@
     StoppedClock clock;
     TwoServers servers;
     LateAttempts attempts(clock, servers);
-    for (std::size_t n = 0; n < kMost + kMore; ++n) attempts.follow({0, n, "q" + std::to_string(n), true});
+    for (std::size_t n = 0; n < kMost + kMore; ++n)
+        attempts.follow({0, n, "q" + std::to_string(n), true, kStart});
     EXPECT_EQ(attempts.size(), kMost);
     EXPECT_EQ(attempts.overflows(), kMore);
     for (int look = 0; look < 35 * 50; ++look) {
--- a/tests/node/release_test.cpp
+++ b/tests/node/release_test.cpp
@@ -214,6 +214,67 @@
     wait_for_two_more_elsewhere(w, at_decode);
 }
 
+// What takes the place of a server that hangs while the old process may run on.
+enum class Successor { same_name_elsewhere, other_name };
+
+class ReplacedServer : public testing::TestWithParam<Successor> {};
+
+// Against answers of the successor that count as those of the server before it: the late read would not be
+// followed to its end.
+TEST_P(ReplacedServer, IsStillFollowedForItsLateRead) {
+    ScriptedWorld w;
+    ScriptedServer successor(w.loop);
+    std::size_t at_decode = 0, at_successor = 0;
+    const auto answer = [&] {
+        w.answer_releases(w.decode, at_decode);
+        w.answer_releases(successor, at_successor);
+    };
+    // An index is handed on where another start is told with the new name.
+    w.platform.set_start("r1", (w.loop.now() - ms(3600000)).us / 1000);
+    w.start(256);
+    auto client = w.client();
+    client->say(w.call(w.fresh(), "300"));
+    w.wait_for_post(w.prefill, 1);
+    w.until("a final answer", [&] { return client->status() != 0; });
+    w.until("the late read is followed", [&] {
+        answer();
+        return w.node->upstreams().late_attempts().size() > 0;
+    });
+    const std::size_t indices = w.node->server_indices();
+    if (GetParam() == Successor::same_name_elsewhere) {
+        w.platform.point("r1", successor.address());
+    } else {
+        w.platform.set("r1", "removed");
+        w.until("it is gone", [&] { return !w.node->knows("r1"); });
+        w.pass(ms(1000));  // its index is handed on once nothing is under way there
+        w.platform.add("r9", Role::reader, "z", 1);
+        w.platform.point("r9", successor.address());
+        w.until("its successor is known", [&] { return w.node->knows("r9"); });
+        EXPECT_EQ(w.node->server_indices(), indices);
+    }
+    const Instant moved = w.loop.now();
+    while (w.loop.now() - moved < ms(5000)) {
+        w.pass(ms(10));
+        answer();
+    }
+    const auto releases = [&] {
+        return w.decode.count("DELETE") + successor.count("DELETE") + w.platform.count("DELETE");
+    };
+    const std::size_t before = releases();
+    const Instant since = w.loop.now();
+    w.until("a release elsewhere", [&] {
+        answer();
+        return releases() > before;
+    });
+    EXPECT_LE((w.loop.now() - since).ms(), 1000);
+}
+
+INSTANTIATE_TEST_SUITE_P(Each, ReplacedServer,
+                         testing::Values(Successor::same_name_elsewhere, Successor::other_name),
+                         [](const auto& param) {
+                             return param.param == Successor::other_name ? "OtherName" : "SameNameElsewhere";
+                         });
+
 INSTANTIATE_TEST_SUITE_P(EachEffect, HandOverNeverRead, testing::Values("repeatable", "once"),
                          [](const auto& param) { return std::string(param.param); });
 
