--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -118,6 +118,7 @@
              {{"node", terms_.name},
               {"address", address().text()},
               {"servers", static_cast<std::int64_t>(membership_->size())},
+              {"cpu_ms", cpu_used().ms()},
               {"client_connections", static_cast<std::int64_t>(sizes.clients)},
               {"server_connections", static_cast<std::int64_t>(sizes.servers)}});
 }
