A log that nobody reads holds up no request

What callers saw: once whoever reads the log had stopped and 64 KB lay in its pipe, the gateway answered nothing any more: no request, no health check, no release, no signal.

Cause: lines were written to standard error with calls that wait until there is room, in the loop's own thread.

Change: standard error is asked whether it takes bytes, and no more than PIPE_BUF are written at a time, which a pipe that takes any takes at once. A line that can't be written is left out; how many is told with the next one. Standard streams that are closed at the start are opened to /dev/null, so that no log line is written into a connection that has got their number.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,9 +1,11 @@
 #include <CLI/CLI.hpp>
 
 #include "cli/commands.h"
+#include "logging/standard_streams.h"
 
 int main(int argc, char** argv) {
     using namespace copperfront;
+    open_missing_standard_streams();
     CLI::App app(
         "copperfront: a router for language-model servers that read and write in two stages.\n"
         "Exit codes: 0 all is well, 1 a rule was broken or a run went wrong, 2 bad input or use.",
--- a/src/logging/log.cpp
+++ b/src/logging/log.cpp
@@ -2,13 +2,14 @@
 
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/rotating_file_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "logging/standard_error.h"
+
 namespace copperfront {
 namespace {
 
@@ -48,10 +49,12 @@
     : json_(form != "text") {
     try {
         spdlog::sink_ptr sink;
-        if (file.empty())
-            sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
-        else
+        if (file.empty()) {
+            standard_error_ = std::make_shared<StandardErrorSink>();
+            sink = standard_error_;
+        } else {
             sink = std::make_shared<spdlog::sinks::rotating_file_sink_st>(file, file_bytes, files);
+        }
         logger_ = std::make_shared<spdlog::logger>("copperfront", sink);
     } catch (const spdlog::spdlog_ex& trouble) {
         throw std::runtime_error("the log cannot be written: " + std::string(trouble.what()));
@@ -73,6 +76,21 @@
 void Log::say(Weight weight, std::string_view package, std::string_view what,
               std::initializer_list<Field> fields) {
     if (!writes(weight)) return;
+    tell_lines_left_out();
+    write(weight, package, what, fields);
+}
+
+void Log::tell_lines_left_out() {
+    if (!standard_error_ || !standard_error_->takes_bytes()) return;
+    const std::uint64_t left_out = standard_error_->left_out();
+    if (left_out == told_left_out_) return;
+    write(Weight::warn, "log", "log lines could not be written",
+          {{"lines", static_cast<std::int64_t>(left_out - told_left_out_)}});
+    told_left_out_ = left_out;
+}
+
+void Log::write(Weight weight, std::string_view package, std::string_view what,
+                std::initializer_list<Field> fields) {
     std::string line = json_ ? "\"package\":" + json_text(package) + ",\"what\":" + json_text(what)
                              : std::string(package) + ": " + std::string(what);
     for (const auto& [name, value] : fields) {
--- /dev/null
+++ b/src/logging/standard_error.cpp
@@ -0,0 +1,38 @@
+#include "logging/standard_error.h"
+
+#include <limits.h>
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+
+namespace copperfront {
+
+bool StandardErrorSink::takes_bytes() const {
+    pollfd standard_error{STDERR_FILENO, POLLOUT, 0};
+    return poll(&standard_error, 1, 0) == 1 && (standard_error.revents & POLLOUT) != 0;
+}
+
+void StandardErrorSink::sink_it_(const spdlog::details::log_msg& message) {
+    spdlog::memory_buf_t line;
+    if (ends_within_line_) line.push_back('\n');
+    formatter_->format(message, line);
+    if (!write({line.data(), line.size()})) ++left_out_;
+}
+
+// A pipe that takes bytes at all takes PIPE_BUF of them without waiting.
+bool StandardErrorSink::write(std::string_view bytes) {
+    while (!bytes.empty()) {
+        if (!takes_bytes()) return false;
+        const std::size_t part = std::min<std::size_t>(bytes.size(), PIPE_BUF);
+        const ssize_t written = ::write(STDERR_FILENO, bytes.data(), part);
+        if (written < 0 && errno == EINTR) continue;
+        if (written <= 0) return false;
+        bytes.remove_prefix(static_cast<std::size_t>(written));
+        ends_within_line_ = !bytes.empty();
+    }
+    return true;
+}
+
+}  // namespace copperfront
--- a/tests/node/large_fleet.h
+++ b/tests/node/large_fleet.h
@@ -1,8 +1,10 @@
 // A gateway as a process of its own, with thousands of model servers, discovery and clients in the test's.
 #pragma once
 
+#include <fcntl.h>
 #include <gtest/gtest.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -37,6 +39,8 @@
     bool known_list = true;  // the configuration has the list
     bool cold = false;       // all servers have just started
     Span prefill_time = ms(10);
+    const char* log_level = "info";
+    bool log_is_stalled = false;  // its lines go into a pipe that nobody reads
 };
 
 class LargeFleet {
@@ -56,6 +60,7 @@
     }
     ~LargeFleet() {
         share_.reset();
+        if (stalled_log_ >= 0) close(stalled_log_);
         std::filesystem::remove(configuration_);
         std::filesystem::remove(log_file());
     }
@@ -105,12 +110,13 @@
              << R"("known":)" << list << ",\n"
              << kLargeFleetSettings << "}\n";
         file.close();
+        if (options_.log_is_stalled) stall_log();
         day::Processes::Start start;
         start.name = kGateway;
         // Another build of the program, to see what that one does.
         const char* const other = std::getenv("LARGE_FLEET_PROGRAM");
         start.program = other != nullptr ? other : COPPERFRONT_PROGRAM;
-        start.args = {"node", configuration_, "--log-level", "info"};
+        start.args = {"node", configuration_, "--log-level", options_.log_level};
         start.errors = log_file();
         processes_.start(std::move(start));
         ASSERT_TRUE(wait_for([this] { return is_ready(); }, ms(20000)));
@@ -214,6 +220,11 @@
         setrlimit(RLIMIT_NOFILE, &limit);
     }
 
+    void stall_log() {
+        ASSERT_EQ(mkfifo(log_file().c_str(), 0600), 0);
+        stalled_log_ = open(log_file().c_str(), O_RDWR | O_CLOEXEC);
+        ASSERT_GE(stalled_log_, 0);
+    }
     std::string log_file() const { return configuration_ + ".log"; }
 
     bool is_ready() {
@@ -257,6 +268,7 @@
     const Address address_ = Address::parse(host() + ":18082");
     std::map<std::string, Instant> held_since_;
     Span longest_hold_;
+    int stalled_log_ = -1;  // both ends of the pipe
     day::Processes processes_;
     std::optional<soak::CpuShare> share_;
 };
--- a/tests/node/large_fleet_test.cpp
+++ b/tests/node/large_fleet_test.cpp
@@ -145,6 +145,15 @@
     EXPECT_LE(fleet.answer_time(0.99), ms(1000));
 }
 
+// Against a gateway that stands still once whoever reads its log has stopped.
+TEST(LargeFleet, LogThatNobodyReadsHoldsUpNoRequest) {
+    LargeFleet fleet({.log_level = "trace", .log_is_stalled = true});
+    fleet.start();
+    fleet.send_requests(600, ms(3));
+    EXPECT_TRUE(fleet.wait_for_answers(ms(4000)));
+    EXPECT_EQ(fleet.completed(), 600u);
+}
+
 // Against signals that each have the whole list of the settings read again.
 TEST(LargeFleet, ReloadsInARowDelayNoAnswer) {
     LargeFleet fleet({.servers = kMostServers, .share = 0.2});
