Soak: a model server records a call's arrival before others can see anything of it

Trace: the hand-over's arrival at decode-19 is recorded 2,560 ms after it was sent, as the first thing after a pause of that process, and its close 63 us later. But releases that prefill-5 and prefill-11 read 1,750 ms before that were kept because a hand-over waited: decode-19 had marked its arrival for all servers and was stopped before it wrote its own record. So the attempt was out at a running server, which stops the clock; the gateway's releases 29 ms after its end and once more were in time.

Change: the record comes first. A stop between the two now shows as an attempt that is out, as it is.

--- a/src/soak/model_server.cpp
+++ b/src/soak/model_server.cpp
@@ -162,11 +162,12 @@
         if (id == nullptr) return stream_->send(response(404, "", ""));
         request_ = *id;
         const std::string* const left = head.find("X-Time-Left-Ms");
+        // Before anything that other servers see of it: this process may be stopped at any point.
+        state_.record(ServerEvent::arrived, request_, call_, left ? std::atoll(left->c_str()) : -1);
         // A hand-over waits from the moment that it has arrived: a release that is read next lets go of
         // nothing.
         const bool is_hand_over = state_.options.role == Role::writer;
         const bool has_state = is_hand_over && state_.held_states.hand_over_arrived(request_, attempt_name());
-        state_.record(ServerEvent::arrived, request_, call_, left ? std::atoll(left->c_str()) : -1);
         begin_work(has_state);
     }
 
