Soak: servers that hang leave a large list and come back under other names

Four servers at a time hang for 0.5 to 3 s and leave the list for 0.2 to 1.5 s; only with large lists.

--- a/src/soak/fleet.cpp
+++ b/src/soak/fleet.cpp
@@ -109,6 +109,7 @@
     Role role = Role::reader;
     bool running = false, ready = false, draining = false;
     std::uint32_t life = 0;
+    std::uint32_t renamed = 0;  // times
     std::unique_ptr<FaultProxy> proxy;
 };
 
@@ -355,14 +356,16 @@
 
 std::vector<std::string> Fleet::names_of(std::size_t server) const {
     const std::size_t names = std::max<std::size_t>(1, options_.listed_servers / servers_.size());
-    std::vector<std::string> all{servers_[server]->name};
-    for (std::size_t n = 1; n < names; ++n) all.push_back(servers_[server]->name + "-" + std::to_string(n));
+    const Server& mine = *servers_[server];
+    const std::string name = mine.renamed == 0 ? mine.name : mine.name + "." + std::to_string(mine.renamed);
+    std::vector<std::string> all{name};
+    for (std::size_t n = 1; n < names; ++n) all.push_back(name + "-" + std::to_string(n));
     return all;
 }
 
 void Fleet::list_server(std::size_t server) {
     const Server& mine = *servers_[server];
-    const bool again = mine.life > 1;
+    const bool again = mine.life > 1 || mine.renamed > 0;
     // It is no longer withdrawn.
     if (auto& spans = records_.withdrawn[mine.name]; !spans.empty()) {
         spans.back().until = std::min(spans.back().until, machine_clock_us());
@@ -432,6 +435,23 @@
     });
 }
 
+void Fleet::rename_server(std::size_t server, Span hangs, Span out) {
+    Server& mine = *servers_[server];
+    if (!mine.ready || mine.draining) return;
+    pause_server(server, hangs);
+    mine.draining = true;
+    const Microseconds now = machine_clock_us();
+    platform_->set_all(names_of(server), "removed");
+    records_.withdrawn[mine.name].push_back({now, now + out.us, platform_->list_index()});
+    after(out, [this, server] {
+        Server& renamed = *servers_[server];
+        renamed.draining = false;
+        platform_->set_all(names_of(server), "removed");
+        ++renamed.renamed;
+        if (renamed.ready) list_server(server);
+    });
+}
+
 void Fleet::replace_quarter(std::size_t first, Span step) {
     const std::size_t count = std::max<std::size_t>(1, servers_.size() / 4);
     const Span out = step * static_cast<double>(count + 2);
--- a/src/soak/fleet.h
+++ b/src/soak/fleet.h
@@ -73,6 +73,9 @@
     // A quarter of the servers drains in steps, is taken out of the list for a part of the time, and comes
     // back.
     void replace_quarter(std::size_t first, Span step);
+    // It hangs, leaves the list, and comes back under other names, with its old places in the list given to
+    // others.
+    void rename_server(std::size_t server, Span hangs, Span out);
     // It runs, takes calls and says nothing of them for a while.
     void mute_server(std::size_t server);
     void silence_connections(std::size_t server, double share);
--- a/src/soak/soak_run.cpp
+++ b/src/soak/soak_run.cpp
@@ -20,6 +20,7 @@
 constexpr Span kExitWithin = kMs * 5000;
 constexpr Span kLookEvery = kMs * 20;
 constexpr int kCrowdConnections = 300;
+constexpr int kRenamedServers = 4;
 constexpr int kStalledClients = 3;
 constexpr double kCrowdShare = 0.3;     // of the runs
 constexpr double kHungRoleShare = 0.8;  // of the servers of a role that hang together
@@ -92,9 +93,10 @@
         replace_quarter,
         lists_come_slowly,
         lists_in_other_form,
+        rename_servers,
     };
     static constexpr int kUsualFaults = static_cast<int>(Fault::stalled_clients) + 1;
-    static constexpr int kFaultsOfLargeLists = static_cast<int>(Fault::lists_in_other_form) + 1;
+    static constexpr int kFaultsOfLargeLists = static_cast<int>(Fault::rename_servers) + 1;
 
     std::int64_t between(std::int64_t least, std::int64_t most) {
         return std::uniform_int_distribution<std::int64_t>(least, most)(chance_);
@@ -168,6 +170,8 @@
                 return fleet_.write_lists_slowly(static_cast<std::size_t>(between(1, 30)), span(1, 50));
             case Fault::lists_in_other_form:
                 return fleet_.indent_lists(between(0, 1) == 0);
+            case Fault::rename_servers:
+                return rename_servers();
         }
     }
 
@@ -192,6 +196,13 @@
         }
     }
 
+    // Several servers take each other's places in the gateways' tables.
+    void rename_servers() {
+        for (int n = 0; n < kRenamedServers; ++n) {
+            fleet_.rename_server(any_server(), span(500, 3000), span(200, 1500));
+        }
+    }
+
     void come_and_stall() {
         const std::size_t gateway = any_gateway();
         if (!fleet_.takes_connections(gateway)) return;
