--- a/src/logging/log.cpp
+++ b/src/logging/log.cpp
@@ -81,9 +81,8 @@
 }
 
 void Log::tell_lines_left_out() {
-    if (!standard_error_ || !standard_error_->takes_bytes()) return;
-    const std::uint64_t left_out = standard_error_->left_out();
-    if (left_out == told_left_out_) return;
+    const std::uint64_t left_out = standard_error_ ? standard_error_->left_out() : 0;
+    if (left_out == told_left_out_ || !standard_error_->takes_bytes()) return;
     write(Weight::warn, "log", "log lines could not be written",
           {{"lines", static_cast<std::int64_t>(left_out - told_left_out_)}});
     told_left_out_ = left_out;
