A connection that the system has no room to watch is tried again; the shim fails epoll_ctl

Cause: the result of enabling a direction of a connection was not looked at. Where the system refused the watch, the connection was never read or written again; a listener refused at its start would never have accepted.

The event library's own lines no longer go to standard error, where they would wait for a reader. The shim fails watches that are added or widened, and the soak refuses a run in which none failed.

--- a/src/cli/soak_command.cpp
+++ b/src/cli/soak_command.cpp
@@ -22,8 +22,8 @@
 constexpr Span kSilentFor{1500000};
 
 // Every call that the shim can make fail; a run in which one never did shows nothing of it.
-constexpr const char* kShimmedCalls[] = {"accept4", "socket", "connect",    "readv",     "writev",
-                                         "recv",    "poll",   "epoll_wait", "setsockopt"};
+constexpr const char* kShimmedCalls[] = {"accept4", "socket", "connect",    "readv",      "writev",
+                                         "recv",    "poll",   "epoll_wait", "setsockopt", "epoll_ctl"};
 
 bool all_were_met(const FaultsMet& met) {
     bool all = true;
--- a/src/logging/standard_error.cpp
+++ b/src/logging/standard_error.cpp
@@ -8,10 +8,17 @@
 #include <cerrno>
 
 namespace copperfront {
+namespace {
+
+constexpr int kMostTries = 8;  // where the system is interrupted or lacks memory
+
+}  // namespace
 
 bool StandardErrorSink::takes_bytes() const {
     pollfd standard_error{STDERR_FILENO, POLLOUT, 0};
-    return poll(&standard_error, 1, 0) == 1 && (standard_error.revents & POLLOUT) != 0;
+    int ready = -1;
+    for (int n = 0; n < kMostTries && ready < 0; ++n) ready = poll(&standard_error, 1, 0);
+    return ready == 1 && (standard_error.revents & POLLOUT) != 0;
 }
 
 void StandardErrorSink::sink_it_(const spdlog::details::log_msg& message) {
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -105,10 +105,7 @@
 }
 
 Listener::Listener(Loop& loop, const Address& at, std::function<void(int fd)> came)
-    : loop_(loop),
-      asked_(at),
-      came_(std::move(came)),
-      again_(loop, [this] { evconnlistener_enable(listener_); }) {
+    : loop_(loop), asked_(at), came_(std::move(came)), again_(loop, [this] { accept_connections(); }) {
     bind();
     // Against a process that does not start because the system lacked memory or descriptors for a moment.
     for (int tries = 1; !listener_ && is_shortage(errno) && tries < kMostBinds; ++tries) {
@@ -116,6 +113,7 @@
         bind();
     }
     if (!listener_) throw NetTrouble("cannot listen on " + at.text() + ": " + std::strerror(errno));
+    accept_connections();
     evconnlistener_set_error_cb(listener_, [](evconnlistener*, void* self) {
         // Too many open files, for the most part. Accepting at once again would only spin.
         Listener& mine = *static_cast<Listener*>(self);
@@ -127,6 +125,11 @@
     });
 }
 
+// Against a listener that is never watched, as the system had no room for it.
+void Listener::accept_connections() {
+    if (evconnlistener_enable(listener_) != 0) again_.set(kAcceptAgain);
+}
+
 void Listener::bind() {
     sockaddr_storage raw{};
     const int length = asked_.fill(&raw);
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -78,6 +78,7 @@
 
   private:
     void bind();
+    void accept_connections();
 
     Loop& loop_;
     const Address asked_;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -31,6 +31,8 @@
 };
 
 Loop::Loop() : wall_at_start_(read_clock(CLOCK_REALTIME)), steady_at_start_(machine_clock_us()) {
+    // The library's own lines would wait for a standard error that nobody reads.
+    event_set_log_callback([](int, const char*) {});
     event_config* wishes = event_config_new();
     event_config_set_flag(wishes, EVENT_BASE_FLAG_PRECISE_TIMER);
     base_ = event_base_new_with_config(wishes);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -79,7 +79,7 @@
     if (!stream->events_) throw std::bad_alloc();
     stream->made_ = true;
     stream->set_callbacks();
-    bufferevent_enable(stream->events_, EV_READ);
+    stream->enable(EV_READ);
     return stream;
 }
 
@@ -178,7 +178,7 @@
     if (pause)
         bufferevent_disable(events_, EV_READ);
     else
-        bufferevent_enable(events_, EV_READ);
+        enable(EV_READ);
 }
 
 // The event library reads a few kilobytes for each turn of the loop, so that a long message would take as
@@ -201,7 +201,7 @@
     if (!made_ || write_is_due_ || waits_for_room()) return;
     const bool flood = written_at_.us != 0 && loop_.now() - written_at_ < kFloodWithin;
     if (flood || !loop_.in_event()) {
-        bufferevent_enable(events_, EV_WRITE);
+        enable(EV_WRITE);
         return;
     }
     write_is_due_ = true;
@@ -224,7 +224,7 @@
     evbuffer_freeze(out, 1);
     // It meets a connection that is broken as well, and tells of it.
     if (unsent() > 0)
-        bufferevent_enable(events_, EV_WRITE);
+        enable(EV_WRITE);
     else
         all_written();
 }
@@ -284,7 +284,7 @@
     });
     rest->last_words_->set(kLastWords);
     rest->drain(rest->held());
-    bufferevent_enable(rest->events_, EV_READ);
+    rest->enable(EV_READ);
     rest->end_sending();
 }
 
@@ -337,7 +337,7 @@
     if (what & BEV_EVENT_CONNECTED) {
         stream.made_ = true;
         no_delay(bufferevent_getfd(stream.events_));
-        bufferevent_enable(stream.events_, EV_READ);
+        stream.enable(EV_READ);
         if (stream.unsent() > 0) stream.write_soon();
         stream.owner_->stream_made(stream);
         return;
@@ -350,13 +350,19 @@
 }
 
 // The event library stops the direction that failed; what is queued stays.
-void Stream::go_on_soon(short what) {
-    const short direction = (what & BEV_EVENT_READING) ? EV_READ : EV_WRITE;
-    stopped_ = static_cast<short>(stopped_ | direction);
+void Stream::go_on_soon(short what) { enable_soon((what & BEV_EVENT_READING) ? EV_READ : EV_WRITE); }
+
+// Against a connection that is never read, as the system had no room to watch it.
+void Stream::enable(short directions) {
+    if (bufferevent_enable(events_, directions) != 0) enable_soon(directions);
+}
+
+void Stream::enable_soon(short directions) {
+    stopped_ = static_cast<short>(stopped_ | directions);
     if (!again_) {
         again_ = std::make_unique<Timer>(loop_, [this] {
             const short wanted = std::exchange(stopped_, short{0});
-            if (!closed_) bufferevent_enable(events_, paused_ ? wanted & ~EV_READ : wanted);
+            if (!closed_) enable(static_cast<short>(paused_ ? wanted & ~EV_READ : wanted));
         });
     }
     again_->set(kAgainAfter);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -103,6 +103,9 @@
     void event_over() override;
     void all_written();
     void go_on_soon(short what);
+    // Directions are EV_READ and EV_WRITE; where the system lacks memory or room they are tried again.
+    void enable(short directions);
+    void enable_soon(short directions);
     void set_callbacks();
 
     Loop& loop_;
@@ -115,7 +118,7 @@
     bool write_is_due_ = false;  // at the end of the present event
     Instant written_at_;         // by such a write
     int error_ = 0;              // that a read or write of its own has met: the system tells it once
-    short stopped_ = 0;          // directions that wait for the system to have memory again
+    short stopped_ = 0;          // directions that wait for the system to have memory or room again
     int stalled_ = 0;
     std::size_t dropped_ = 0, still_queued_ = 0;
     std::unique_ptr<Timer> last_words_, again_;
--- a/tests/soak/fault_shim.cpp
+++ b/tests/soak/fault_shim.cpp
@@ -64,6 +64,7 @@
 Call epoll_wait_call{"epoll_wait", Kind::wait, 8};
 Call setsockopt_call{"setsockopt", Kind::option, 9};
 Call getsockname_call{"getsockname", Kind::option, 10};
+Call epoll_ctl_call{"epoll_ctl", Kind::option, 11};
 
 template <class Function>
 Function* real(const char* name) {
@@ -101,6 +102,7 @@
 
 std::atomic<std::uint64_t> draws{0};
 std::atomic<bool> accepted[kMostDescriptors];
+std::atomic<std::uint32_t> watched[kMostDescriptors];  // events of epoll
 
 std::uint64_t slice_now() {
     static const auto clock = real<int(clockid_t, timespec*)>("clock_gettime");
@@ -184,6 +186,7 @@
 constexpr Errno kBreakingFaults[] = {
     {ECONNRESET, "ECONNRESET"}, {ETIMEDOUT, "ETIMEDOUT"}, {EHOSTUNREACH, "EHOSTUNREACH"}, {EPIPE, "EPIPE"}};
 constexpr Errno kPeekFaults[] = {{EINTR, "EINTR"}, {ENOMEM, "ENOMEM"}};
+constexpr Errno kWatchFaults[] = {{ENOMEM, "ENOMEM"}, {ENOSPC, "ENOSPC"}};
 constexpr Errno kOptionFaults[] = {{ENOBUFS, "ENOBUFS"}, {ENOMEM, "ENOMEM"}};
 
 template <std::size_t N>
@@ -318,6 +321,19 @@
     return next(fd, events, most, timeout);
 }
 
+int epoll_ctl(int epoll, int operation, int fd, epoll_event* event) {
+    static const auto next = real<int(int, int, int, epoll_event*)>("epoll_ctl");
+    if (fd < 0 || fd >= kMostDescriptors) return next(epoll, operation, fd, event);
+    const std::uint32_t before = operation == EPOLL_CTL_MOD ? watched[fd].load() : 0;
+    const std::uint32_t wanted = operation == EPOLL_CTL_DEL ? 0 : event->events;
+    // What only ends a watch needs nothing of the system.
+    const std::uint64_t random = (wanted & ~before) != 0 ? strikes(epoll_ctl_call) : 0;
+    if (random != 0 && is_network(fd)) return fail(epoll_ctl_call, fd, one_of(kWatchFaults, random));
+    const int result = next(epoll, operation, fd, event);
+    if (result == 0) watched[fd] = wanted;
+    return result;
+}
+
 int setsockopt(int fd, int level, int name, const void* value, socklen_t length) {
     static const auto next = real<int(int, int, int, const void*, socklen_t)>("setsockopt");
     if (const std::uint64_t random = strikes(setsockopt_call); random != 0 && is_network(fd))
