An index is handed on also where lists tell no starts

Without starts all are alike: none was ever handed on, and each new name was looked for among all that had gone.

Tests: FleetThatIsReplacedWithoutStartsTakesNoMoreThanTwiceItsSize, StartOfAServerWithAHandedOnIndexStaysTheSame.

--- a/src/node/membership.cpp
+++ b/src/node/membership.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t kEntriesPerTurn = 512;
+constexpr Instant kNoStart{-1};  // of an index that no server has had
 constexpr std::chrono::milliseconds kSabotagedPause{500};
 
 bool is_withdrawn(const platform::Entry& entry) { return entry.standing != Standing::ready; }
@@ -155,9 +156,14 @@
         remove(server);
         return servers_[server].listing;
     }
+    const bool is_new = !find(prepared.name);
     Listing listing = prepared.listing;
-    listing.server = index_for(prepared.name, listing.born);
+    listing.server = index_for(prepared.name);
     Server& server = servers_[listing.server];
+    const Instant told_start = listing.born;
+    const bool same_process = !is_new && server.told_start == told_start;
+    listing.born = same_process ? server.listing.born : start_that_differs(told_start, server);
+    server.told_start = told_start;
     server.listing = listing;
     server.gone = false;
     removed_.erase(listing.server);
@@ -184,22 +190,25 @@
     return known->second;
 }
 
+// Another start is what tells the rules that there is another process under an index.
+Instant Membership::start_that_differs(Instant told, const Server& before) {
+    return told == before.listing.born ? told + Span{1} : told;
+}
+
 // A name that is new takes the index of a server that has gone and owes nothing, so that a fleet that is
 // replaced all day long costs no more than its size.
-ServerIndex Membership::index_for(const std::string& name, Instant born) {
+ServerIndex Membership::index_for(const std::string& name) {
     if (const std::optional<ServerIndex> known = find(name)) return *known;
     ServerIndex index = static_cast<ServerIndex>(servers_.size());
-    // Another start is what tells the rules that it is another server.
-    const auto free = std::find_if(removed_.begin(), removed_.end(), [&](ServerIndex server) {
-        const bool idle = connections_.is_idle(server) || is_sabotaged(Sabotage::index_handed_on_early);
-        return servers_[server].listing.born != born && idle;
+    const auto free = std::find_if(removed_.begin(), removed_.end(), [this](ServerIndex server) {
+        return connections_.is_idle(server) || is_sabotaged(Sabotage::index_handed_on_early);
     });
     if (free != removed_.end()) {
         index = *free;
         removed_.erase(free);
         index_of_name_.erase(servers_[index].name);
     } else {
-        servers_.emplace_back();
+        servers_.emplace_back().listing.born = kNoStart;
     }
     servers_[index].name = name;
     index_of_name_[name] = index;
--- a/src/node/membership.h
+++ b/src/node/membership.h
@@ -72,7 +72,8 @@
   private:
     struct Server {
         std::string name;
-        Listing listing;  // with its index
+        Instant told_start;  // as the list has it
+        Listing listing;     // with its index
         bool gone = false;
     };
     // An entry that can be used, with all that needs no index.
@@ -103,7 +104,8 @@
     Listing apply(const Prepared& prepared);
     void remove(ServerIndex server);
     std::optional<ServerIndex> find(const std::string& name) const;
-    ServerIndex index_for(const std::string& name, Instant born);
+    ServerIndex index_for(const std::string& name);
+    static Instant start_that_differs(Instant told, const Server& before);
 
     Loop& loop_;
     const Names& kinds_;
--- a/tests/node/membership_test.cpp
+++ b/tests/node/membership_test.cpp
@@ -152,6 +152,40 @@
     EXPECT_EQ(membership.name_of(0), "c");
 }
 
+// Against a table that grows with each replacement, and is searched whole for each name, where no list tells
+// starts.
+TEST_F(MembershipTest, FleetThatIsReplacedWithoutStartsTakesNoMoreThanTwiceItsSize) {
+    std::vector<Instant> starts(2 * kLongList, Instant{-1});
+    for (int round = 0; round < 6; ++round) {
+        platform::News news = long_list();
+        for (platform::Entry& each : news.entries) each.name += "-" + std::to_string(round);
+        const std::size_t before = changes.told.size();
+        take(std::move(news));
+        run_loop();
+        EXPECT_EQ(membership.size(), kLongList);
+        ASSERT_LE(membership.indices(), 2 * kLongList);
+        ASSERT_GT(changes.told.size(), before);
+        for (const Listing& listing : changes.told.back().listings) {
+            EXPECT_NE(listing.born, starts[listing.server]);
+            starts[listing.server] = listing.born;
+        }
+    }
+}
+
+// Against a server that is taken for a new process each time that a list names it.
+TEST_F(MembershipTest, StartOfAServerWithAHandedOnIndexStaysTheSame) {
+    change({entry("a")});
+    change({entry("a", Standing::gone)});
+    change({entry("b")});
+    ASSERT_EQ(membership.name_of(0), "b");
+    const Instant start = changes.told.back().listings.at(0).born;
+    EXPECT_NE(start, Instant{});
+    change({entry("b", Standing::draining)});
+    EXPECT_EQ(changes.told.back().listings.at(0).born, start);
+    change({entry("b", Standing::ready, kStarted)});
+    EXPECT_NE(changes.told.back().listings.at(0).born, start);
+}
+
 // Against a list of which one entry can't be used and none is taken.
 TEST_F(MembershipTest, EntryThatCannotBeUsedIsPassedOver) {
     platform::Entry elsewhere = entry("a"), unknown = entry("b");
