review: records tell each request sent, answered and run

Cause: the records listed the unusual requests alone. Change: a line for each request at its client and at each server.

--- a/review/standin/cold.cpp
+++ b/review/standin/cold.cpp
@@ -83,6 +83,7 @@
             if (!send_all(fd, "HTTP/1.1 204 No Content\r\n\r\n")) return;
             continue;
         }
+        if (s.prefill || s.since < 0) record.line("arrived %s %s", s.name.c_str(), request.id.c_str());
         if (!s.prefill) count_arrival(s, request.id);
         if (s.prefill) {
             sleep_ms(40);
@@ -144,15 +145,18 @@
         return;
     }
     Reader reader(fd);
+    record.line("client %s: sends", call.id.c_str());
     send_all(fd, call.text());
     const Answer answer = read_answer(reader, 30000);
     close(fd);
     if (over) return;
+    record.line("client %s: got %d%s", call.id.c_str(), answer.status,
+                answer.status == 0 ? ", no answer" : answer.whole ? "" : ", its stream broke");
     if (answer.status == 200 && answer.whole) ++whole;
-    else if (answer.status == 200) ++broken, record.line("client %s: its stream broke", call.id.c_str());
+    else if (answer.status == 200) ++broken;
     else if (answer.status == 503 || answer.status == 429) ++rejected;
     else if (answer.status != 0) ++failed;
-    else ++unanswered, record.line("client %s: no answer", call.id.c_str());
+    else ++unanswered;
 }
 
 std::string terms(int gateway, std::uint16_t listen, std::uint16_t agent) {
--- a/review/standin/memory.cpp
+++ b/review/standin/memory.cpp
@@ -57,6 +57,7 @@
             if (!send_all(fd, "HTTP/1.1 204 No Content\r\n\r\n")) return;
             continue;
         }
+        record.line("%s: request %s arrived", s.name.c_str(), request.id.c_str());
         if (s.prefill) {
             sleep_ms(60);
             if (peer_closed(fd)) return;
@@ -115,6 +116,7 @@
     }
     Reader reader(fd);
     const bool sent = send_all(fd, call.text());
+    record.line("client %s: %s", call.id.c_str(), sent ? "sent whole" : "could not send the whole request");
     const double at = now_ms();
     const Answer answer = read_answer(reader, 15000);
     close(fd);
@@ -125,9 +127,8 @@
     else if (answer.status == 503 || answer.status == 429) ++rejected;
     else if (answer.status != 0) ++failed;
     else ++unanswered;
-    if (answer.status != 200 || !answer.whole)
-        record.line("client %s (%s): %d after %.0f ms %s", call.id.c_str(), sent ? "sent whole" : "not sent whole",
-                    answer.status, now_ms() - at, answer.status == 200 ? "and broke" : answer.body.c_str());
+    record.line("client %s: got %d after %.0f ms%s", call.id.c_str(), answer.status, now_ms() - at,
+                answer.status == 0 ? ", no answer" : answer.whole ? "" : ", and the stream broke");
 }
 
 std::string terms(std::uint16_t listen, std::uint16_t agent) {
--- a/review/standin/pinned.cpp
+++ b/review/standin/pinned.cpp
@@ -65,7 +65,7 @@
         std::lock_guard<std::mutex> lock(states_mutex);
         requests[request.id].out.insert(attempt);
     }
-    if (is_long) record.line("%s: read of %s arrived", s.name.c_str(), request.id.c_str());
+    record.line("%s: read of %s arrived", s.name.c_str(), request.id.c_str());
     const double end = now_ms() + static_cast<double>(request.body.size()) / 4 / kReadTokensPerS * 1000;
     bool closed = false;
     while (now_ms() < end) {
@@ -81,15 +81,16 @@
         r.held_since = now_ms();
         r.holder = s.name;
     }
-    if (is_long) record.line("%s: read of %s has ended, its state is held", s.name.c_str(), request.id.c_str());
+    record.line("%s: read of %s has ended, its state is held", s.name.c_str(), request.id.c_str());
     const bool sent =
         !closed && send_all(fd, response(202, "Content-Type: application/json\r\n", R"({"cached_tokens":0})"));
     attempt_over(request.id, attempt);
     return sent;
 }
 
-bool decode(int fd, const rig::Request& request) {
+bool decode(const ModelServer& s, int fd, const rig::Request& request) {
     const int attempt = next_attempt++;
+    record.line("%s: hand-over of %s arrived", s.name.c_str(), request.id.c_str());
     {
         std::lock_guard<std::mutex> lock(states_mutex);
         Request& r = requests[request.id];
@@ -125,7 +126,7 @@
             if (!send_all(fd, "HTTP/1.1 204 No Content\r\n\r\n")) return;
             continue;
         }
-        if (!(s.prefill ? read_prompt(s, fd, request) : decode(fd, request))) return;
+        if (!(s.prefill ? read_prompt(s, fd, request) : decode(s, fd, request))) return;
     }
 }
 
@@ -153,6 +154,7 @@
         return;
     }
     Reader reader(fd);
+    record.line("client of %s sends", id.c_str());
     send_all(fd, call.text());
     if (leaves) {
         sleep_ms(kLeaveAfterMs);
@@ -168,7 +170,7 @@
     else if (answer.status == 503 || answer.status == 429) ++rejected;
     else if (answer.status != 0) ++failed;
     else ++unanswered;
-    if (prompt == kLongPrompt) record.line("client of %s got %d", id.c_str(), answer.status);
+    record.line("client of %s got %d%s", id.c_str(), answer.status, answer.whole ? "" : ", not whole");
 }
 
 std::string terms(std::uint16_t listen, std::uint16_t agent) {
