--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -291,7 +291,7 @@
 struct Engine {
     std::string name, role;
     int listener = -1;
-    double greet_after_ms = 0;
+    double greet_after_ms = 0, read_ms = 10;
     // Called for a write in a thread of its own; sends the answer.
     std::function<void(Engine&, int fd, std::mutex& out, const Json& call)> write = nullptr;
 
@@ -328,7 +328,7 @@
                         {"serverInfo", {{"name", name}, {"version", "1"}}},
                         {"capabilities", Json::object()}});
             } else if (method == "engine/read") {
-                sleep_ms(10);
+                sleep_ms(read_ms);
                 {
                     const std::lock_guard lock(states_mutex);
                     states.insert(params.value("state", ""));
@@ -375,10 +375,10 @@
     return path;
 }
 // Returns the gateway, with the port for callers.
-inline Process start_gateway(const std::string& terms, int roster, int& port) {
-    const Process gateway = start({"build/copperfront", "gateway", terms, "--roster", address_of(roster), "--log-level",
-                                   "debug"},
-                                  "gateway.log");
+inline Process start_gateway(const std::string& terms, int roster, int& port, const std::vector<std::string>& more = {}) {
+    std::vector<std::string> command = {"build/copperfront", "gateway", terms, "--roster", address_of(roster)};
+    command.insert(command.end(), more.begin(), more.end());
+    const Process gateway = start(command, "gateway.log");
     const std::string ready = gateway.line();
     if (ready.rfind("ready ", 0) != 0) {
         std::ifstream log(run().temp + "/gateway.log");
