Review: processes of the cases 6 to 10 end with their script, however that ends

Cause: a script that is killed from outside left its gateway running. Change: each process asks the system to be killed when its starter ends.

--- a/review/standin-2/standin.h
+++ b/review/standin-2/standin.h
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -126,6 +127,7 @@
     const std::string log_path = run().temp + "/" + log;
     process.pid = ::fork();
     if (process.pid == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with the case, however that ends
         ::dup2(ends[1], 1);
         const int err = ::open(log_path.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
         ::dup2(err, 2);
