--- a/tests/node/large_fleet.h
+++ b/tests/node/large_fleet.h
@@ -36,9 +36,10 @@
 
 struct LargeFleetOptions {
     std::size_t servers = 200;
-    double cpu_share = 1;       // CPU share of the gateway once it is ready, in cores
-    bool known_list = true;     // the configuration contains the server list
-    bool cold_servers = false;  // all servers have just started
+    std::size_t memory_mb = 192, descriptors = 1024;  // limits of the gateway
+    double cpu_share = 1;                             // CPU share of the gateway once it is ready, in cores
+    bool known_list = true;                           // the configuration contains the server list
+    bool cold_servers = false;                        // all servers have just started
     Duration prefill_time = ms(10);
     const char* log_level = "info";
     bool log_is_stalled = false;  // log lines go into a pipe that is never read
@@ -107,8 +108,8 @@
         const std::string list =
             options_.known_list ? platform.list_json() : R"({"index":0,"snapshot":true,"endpoints":[]})";
         file << R"({"name":"n0","listen":")" << address_.text() << R"(","discovery":")"
-             << platform.discovery().text() << R"(","seed":"1","limits":{"memory_mb":192,"sockets":1024},)"
-             << R"("known":)" << list << ",\n"
+             << platform.discovery().text() << R"(","seed":"1","limits":{"memory_mb":)" << options_.memory_mb
+             << R"(,"sockets":)" << options_.descriptors << R"(},"known":)" << list << ",\n"
              << kLargeFleetSettings << "}\n";
         file.close();
         if (options_.log_is_stalled) stall_log();
@@ -124,6 +125,11 @@
         if (options_.cpu_share < 1) cpu_share_.emplace(loop, processes_, kGateway, options_.cpu_share);
     }
     bool signal(int which) { return processes_.signal(kGateway, which); }
+    const Address& gateway_address() const { return address_; }
+    bool is_running() const { return processes_.is_running(kGateway); }
+    // Resident memory of the gateway now, and the most it has ever had, in MB; 0 once it has ended.
+    double resident_mb() const { return memory_mb_of("VmRSS:"); }
+    double peak_resident_mb() const { return memory_mb_of("VmHWM:"); }
 
     // One request on a connection of its own.
     struct Request {
@@ -217,6 +223,18 @@
   private:
     static constexpr const char* kGateway = "gateway";
 
+    double memory_mb_of(const std::string& field) const {
+        std::ifstream status("/proc/" + std::to_string(processes_.pid_of(kGateway)) + "/status");
+        std::string word;
+        while (status >> word) {
+            if (word != field) continue;
+            double kilobytes = 0;
+            status >> kilobytes;
+            return kilobytes / 1024;
+        }
+        return 0;
+    }
+
     static void raise_descriptor_limit() {
         rlimit limit{};
         getrlimit(RLIMIT_NOFILE, &limit);
