Timers of ended requests no longer pile up until their deadline

What callers saw: memory that grows while clients send requests that end early.

Cause: each request sets timers for its deadline and its attempts; they stayed in the dispatcher's queue until they were due, up to an hour with X-Time-Left-Ms, however soon the request had ended.

Change: TimerQueue removes timers whose request or attempt has ended whenever the queue has doubled, and gives its memory back.

--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -338,15 +338,20 @@
     host_.set_timer(at - now_, kSweepKey);
 }
 
+bool Router::is_obsolete(TimerKey key) const {
+    if (key < kRequestKeys) return false;
+    const auto i = static_cast<RequestIndex>((key - kRequestKeys) >> 30);
+    const auto serial = static_cast<std::uint32_t>(key & ((1U << 30) - 1));
+    if (i >= requests_.size()) return true;
+    const RoutedRequest& q = requests_[i];
+    return q.serial % (1U << 30) != serial || q.stage == Stage::finished || q.stage == Stage::streaming;
+}
+
 void Router::timer_fired(TimerKey key) {
     now_ = host_.now();
     if (key >= kRequestKeys) {
         const auto i = static_cast<RequestIndex>((key - kRequestKeys) >> 30);
-        const auto serial = static_cast<std::uint32_t>(key & ((1U << 30) - 1));
-        if (i >= requests_.size()) return;
-        RoutedRequest& q = requests_[i];
-        if (q.serial % (1U << 30) != serial || q.stage == Stage::finished || q.stage == Stage::streaming)
-            return;
+        if (is_obsolete(key)) return;
         // No first token by the deadline counts as 1.5 latency goals; 0.05: weight of a sample.
         goal_usage_ += 0.05 * (1.5 - goal_usage_);
         end_request(i, Duration{0});
--- a/src/core/router.h
+++ b/src/core/router.h
@@ -158,6 +158,8 @@
     void lease_expired(RequestIndex request);
     void probe_answered(ServerIndex server, bool answered, const LoadReport& report);
     void timer_fired(TimerKey key);
+    // Whether this timer of a request would have no effect any more, as the request has ended or streams.
+    bool is_obsolete(TimerKey key) const;
     void peer_note_received(std::string_view text);
     // Requests that wait for a server, for monitoring.
     struct Waiting {
--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -9,7 +9,6 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
-#include <queue>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -18,6 +17,7 @@
 #include "core/router.h"
 #include "core/send_guard.h"
 #include "dispatch/dispatcher_observer.h"
+#include "dispatch/timer_queue.h"
 #include "limits/admission.h"
 #include "limits/fleet_share.h"
 #include "shadow/shadow_evaluation.h"
@@ -134,6 +134,10 @@
     void answer_began(AttemptId attempt);
 
     std::size_t open_requests() const { return open_count_; }
+    // Closes the requests that have ended and frees what is kept of them. Otherwise done when the next
+    // request is opened. Not to be called from within another call.
+    void recycle_indexes();
+    std::size_t timers() const { return timers_.size(); }
     std::size_t attempts_out() const { return attempts_.size(); }
     Router::Waiting waiting() const { return router_.waiting(); }
     const DispatcherCounters& counters() const { return counters_; }
@@ -238,6 +242,7 @@
     void schedule_lease_timer(RequestIndex request);
     void lease_expired(RequestIndex request);
     void fire(const Timer& timer);
+    bool is_obsolete(const Timer& timer) const;
     void total_limit_reached(RequestIndex request);
     void attempt_timer_fired(const Timer& timer);
     void check_stream_silence(AttemptId attempt);
@@ -252,7 +257,6 @@
     void mark_routing_done(RequestIndex request);
     void cancel_partner(RequestIndex winner);
     void start_hedge(RequestIndex request);
-    void recycle_indexes();
     void update_wakeup();
 
     std::vector<Kind> kinds_;
@@ -267,7 +271,7 @@
     std::unordered_map<AttemptId, Attempt> attempts_;
     AttemptId next_attempt_ = 1;
     std::deque<std::pair<AttemptId, AttemptOutcome>> deferred_outcomes_;
-    std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+    TimerQueue<Timer> timers_;
     std::uint64_t next_sequence_ = 0;
     Instant wakeup_at_;
     bool wakeup_scheduled_ = false;
--- a/src/dispatch/dispatcher_timers.cpp
+++ b/src/dispatch/dispatcher_timers.cpp
@@ -7,6 +7,25 @@
 
 void Dispatcher::schedule_timer(Duration from_now, TimerKind kind, std::uint64_t key) {
     timers_.push({host_.now() + from_now, next_sequence_++, kind, key});
+    if (timers_.has_grown()) timers_.remove_if([this](const Timer& timer) { return is_obsolete(timer); });
+}
+
+bool Dispatcher::is_obsolete(const Timer& timer) const {
+    switch (timer.kind) {
+        case TimerKind::router:
+            return router_.is_obsolete(timer.key);
+        case TimerKind::attempt_limit:
+        case TimerKind::connect_limit:
+        case TimerKind::cancel_delivered:
+        case TimerKind::stream_silence:
+            return attempts_.count(timer.key) == 0;
+        case TimerKind::shadow_evaluation:
+        case TimerKind::lease:
+        case TimerKind::total_limit:
+        case TimerKind::hedge:
+            return false;
+    }
+    return false;
 }
 
 void Dispatcher::update_wakeup() {
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -137,6 +137,23 @@
     assert(s.dispatcher.attempts_out() == 0);
 }
 
+// Guards against timers that pile up until a deadline that may be an hour away, though their requests ended.
+void timers_of_ended_requests_do_not_pile_up() {
+    constexpr int kRequests = 20000;
+    constexpr std::size_t kMaxTimers = 4096;
+    Fixture s;
+    RequestInfo info = arrival_of(0);
+    info.time_budget = ms(3600000);
+    for (int n = 0; n < kRequests; ++n) {
+        const RequestIndex q = s.dispatcher.open();
+        s.dispatcher.request_arrived(q, info);
+        s.dispatcher.client_left(q);
+        s.advance(ms(1));
+    }
+    assert(s.dispatcher.open_requests() == 0);
+    assert(s.dispatcher.timers() <= kMaxTimers);
+}
+
 // Guards against states that stay held after a prefill whose client left or whose answer never arrived.
 void state_of_a_lost_prefill_is_released() {
     Fixture s;
@@ -404,6 +421,7 @@
     nothing_follows_the_final_answer();
     silent_stream_is_abandoned();
     departed_client_ends_its_stream();
+    timers_of_ended_requests_do_not_pile_up();
     state_of_a_lost_prefill_is_released();
     state_awaited_by_an_attempt_is_kept();
     effectful_request_is_never_sent_twice();
