A stream whose server writes slowly is not taken for a silent one

What callers saw: a long answer that a model server was still writing was cut off after 4.65 s without the last chunk.

Cause: the silence of a stream was measured from its last complete event, so an event that arrived byte by byte for longer than 4.6 s ended its attempt.

Change: bytes of a stream count as progress; one event may take 60 s. A stream that sends nothing still ends after 4.6 s.

--- a/src/dispatch/dispatcher.h
+++ b/src/dispatch/dispatcher.h
@@ -115,6 +115,8 @@
     // Reports a token of an attempt's answer. Returns true if it belongs to the stream of the client's
     // request, which is stored in `request`, and false if it must be dropped.
     bool token_received(AttemptId attempt, RequestIndex& request);
+    // Reports that more bytes of an attempt's stream have arrived, though no complete event.
+    void stream_progressed(AttemptId attempt);
     // Reports the end of an attempt, once per attempt. It is ignored if the attempt has already ended. The
     // dispatcher fills in the fields `duration` and `request_answered` of the outcome.
     void attempt_ended(AttemptId attempt, AttemptOutcome outcome);
@@ -178,6 +180,7 @@
         RequestIndex request = 0;
         ServerIndex server = 0;
         Instant sent_at, last_token_at;
+        Instant last_byte_at;      // of its stream, which need not complete an event
         Instant send_by;           // the attempt must not be sent later than this
         AttemptId state = 0;       // decode: the state that it takes
         double memory_tokens = 0;  // decode: memory that it takes on its server, in tokens
--- a/src/dispatch/dispatcher_timers.cpp
+++ b/src/dispatch/dispatcher_timers.cpp
@@ -1,9 +1,16 @@
 // Timers of the dispatcher: time limits of attempts, leases of held states, silent streams and the router's
 // own timers.
+#include <algorithm>
+
 #include "dispatch/dispatcher.h"
 #include "dispatch/event_scope.h"
 
 namespace copperfront {
+namespace {
+
+constexpr Duration kMaxEventTransferTime{60000000};  // of one event of a stream
+
+}  // namespace
 
 void Dispatcher::schedule_timer(Duration from_now, TimerKind kind, std::uint64_t key) {
     timers_.push({host_.now() + from_now, next_sequence_++, kind, key});
@@ -109,10 +116,18 @@
     cancel_then_finish(attempt, outcome, "its time limit has passed");
 }
 
-// Guards against an answer whose end is lost: its client would wait for ever.
+void Dispatcher::stream_progressed(AttemptId attempt) {
+    const auto it = attempts_.find(attempt);
+    if (it != attempts_.end()) it->second.last_byte_at = host_.now();
+}
+
+// Guards against an answer whose end is lost: its client would wait for ever. A stream that is written slowly
+// is not silent, but its next event has to end some time.
 void Dispatcher::check_stream_silence(AttemptId attempt) {
     const Attempt& record = attempts_.at(attempt);
-    const Duration left = record.last_token_at + requests_[record.request].max_silence - host_.now();
+    const Instant heard = std::max(
+        record.last_token_at, std::min(record.last_byte_at, record.last_token_at + kMaxEventTransferTime));
+    const Duration left = heard + requests_[record.request].max_silence - host_.now();
     if (left.us > 0) return schedule_timer(left, TimerKind::stream_silence, attempt);
     ++counters_.streams_silent;
     host_.cancel_attempt(attempt, record.server);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -96,6 +96,7 @@
     RequestLog::Attempt describe(RequestIndex request, AttemptId attempt) const;
     void events_received(AttemptId attempt, std::string_view events, std::size_t count) override;
     Denial may_write(AttemptId attempt, Duration remaining) override;
+    void stream_progressed(AttemptId attempt) override { dispatcher_->stream_progressed(attempt); }
     void answer_began(AttemptId attempt) override { dispatcher_->answer_began(attempt); }
     void release_answered(const std::string& id, const HoldLedger::ReleaseResult& result) override;
     void release_abandoned(const std::string& id, const HoldLedger::ReleaseResult& result) override;
--- a/src/node/upstream_pool.cpp
+++ b/src/node/upstream_pool.cpp
@@ -96,6 +96,7 @@
             answer_began_ = parent_.loop_.now();
             parent_.owner_.answer_began(attempt_);
         }
+        if (use_ == Use::attempt && stream_started_) parent_.owner_.stream_progressed(attempt_);
         read();
     }
     // Whether a response that is not an event stream began at least `limit` ago and is still incomplete. That
--- a/tests/node/streams_test.cpp
+++ b/tests/node/streams_test.cpp
@@ -65,6 +65,29 @@
     EXPECT_LT(longest, kMaxEventDelay);
 }
 
+// Guards against a server that writes slowly being taken for a silent one: an event that arrives byte by byte
+// for longer than a server may be silent is passed on whole, and so is the end.
+TEST(Stream, EventThatIsWrittenByteByByteIsPassedOnWhole) {
+    constexpr Duration kTransferTime = ms(6500), kBetweenBytes = ms(100);
+    ScriptedGatewayFixture fixture;
+    auto client = fixture.client();
+    const auto decode_connection = fixture.advance_to_decode(*client);
+    fixture.decode.send(decode_connection, stream_start() + event_of("first"));
+    fixture.wait_until("the first event",
+                       [&] { return client->received.find("first") != std::string::npos; });
+    const std::string event = event_of("slow-" + std::string(20, 'x'));
+    const auto bytes = static_cast<std::size_t>(kTransferTime / kBetweenBytes);
+    for (std::size_t n = 0; n < bytes && !client->closed; ++n) {
+        fixture.decode.send(decode_connection, event.substr(n, 1));
+        fixture.run_for(kBetweenBytes);
+    }
+    ASSERT_FALSE(client->closed) << "the stream was cut off while its server was writing";
+    fixture.decode.send(decode_connection, event.substr(bytes) + stream_end());
+    fixture.wait_until("the end of the answer", [&] { return client->closed || client->is_complete(); });
+    EXPECT_TRUE(client->is_complete());
+    EXPECT_NE(client->received.find("slow-"), std::string::npos);
+}
+
 // A stream that only pauses continues; one that its server closes in the middle must not look complete.
 TEST(Stream, PauseIsDistinguishedFromATruncation) {
     for (const bool cut : {false, true}) {
