An id that may have run does not run again

What callers saw: an id ran twice when it came again after its client had left.

Cause: once a client had gone, or a request was answered, the gateway knew nothing of its id any more. A second request with that id was prefilled and decoded again while the first one's attempt might still run, also for classes that nothing may repeat.

Change: core/recent_request_ids (policy) remembers the ids of requests of which an attempt was written, for twice the longest deadline and 10 s at least, in 1/64 of the memory; such an id gets 409.

--- a/src/core/memory_budget.cpp
+++ b/src/core/memory_budget.cpp
@@ -40,7 +40,7 @@
 
 std::size_t bytes_at_rest(const MemoryBudget::Process& process) {
     return kBaseBytes + process.servers * kBytesPerServer + process.connections * kBytesPerConnection +
-           process.list_bytes;
+           process.list_bytes + process.remembered_bytes;
 }
 
 }  // namespace
--- a/src/core/memory_budget.h
+++ b/src/core/memory_budget.h
@@ -27,7 +27,8 @@
     struct Process {
         std::size_t limit = 0;  // of its resident memory, in bytes; 0: no limit
         std::size_t servers = 0, connections = 0;
-        std::size_t list_bytes = 0;  // longest server list that is accepted
+        std::size_t list_bytes = 0;        // longest server list that is accepted
+        std::size_t remembered_bytes = 0;  // ids of requests that have ended
     };
     // Bytes that are left for peers in such a process; 0 if its limit is too low.
     static std::size_t bytes_for_peers(const Process& process);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -18,9 +18,11 @@
 // Reserved for listeners, discovery, the event loop and connections that are about to close.
 constexpr std::size_t kReservedSockets = 24, kReservedSocketsDivisor = 16;
 constexpr double kClientShare = 0.48;
-constexpr std::size_t kReleaseConnections = 8;  // connections kept for releases
-constexpr double kListMemoryShare = 0.125;      // of the memory; limit for one server list
-constexpr double kIdleTimeoutShare = 0.7;       // of the idle time-out of the servers
+constexpr std::size_t kReleaseConnections = 8;     // connections kept for releases
+constexpr double kListMemoryShare = 0.125;         // of the memory; limit for one server list
+constexpr double kRecentIdMemoryShare = 1.0 / 64;  // of the memory
+constexpr Duration kMinIdMemory{10000000};         // time for which an id that may have run is remembered
+constexpr double kIdleTimeoutShare = 0.7;          // of the idle time-out of the servers
 constexpr Duration kDefaultIdleTimeout{10000000};
 // The platform counts a client as lost that waits for more than 5 s after the last event of a server.
 constexpr Duration kMaxEventGap{4600000};
@@ -89,9 +91,19 @@
     process.servers = terms.known_list.size() / kBytesPerListEntry;
     process.connections = connections.clients + connections.servers;
     process.list_bytes = max_list_bytes(terms);
+    process.remembered_bytes = memory_share(terms, kRecentIdMemoryShare);
     return process;
 }
 
+// At least the longest time for which an attempt of the request may run.
+Duration id_memory(const platform::NodeTerms& terms) {
+    return std::max(terms.connection_settings.longest_deadline * 2, kMinIdMemory);
+}
+
+std::size_t max_recent_ids(const platform::NodeTerms& terms) {
+    return memory_share(terms, kRecentIdMemoryShare) / RecentRequestIds::kBytesPerId;
+}
+
 // Throws platform::BadInput with the least limit that is enough.
 void check_memory_limit(const MemoryBudget::Process& process) {
     if (MemoryBudget::bytes_for_peers(process) > 0) return;
@@ -110,6 +122,7 @@
       log_(log),
       request_log_(log),
       status_log_(log),
+      recent_ids_(id_memory(terms_), max_recent_ids(terms_)),
       last_status_at_(loop.now()),
       wake_timer_(loop,
                   [this] {
@@ -192,6 +205,7 @@
     // The present list is newer than any list in a file.
     terms_.known_list.clear();
     upstreams_->set_idle_timeout(idle_timeout(terms_));
+    recent_ids_.set_remember_for(id_memory(terms_));
     dispatcher_->terms_changed(terms_.core, std::vector<RouteLimits>{limits()});
     if (!stopped_) discovery_->follow(terms_.discovery);
     log_.log(Severity::info, "node", "new terms hold", {{"discovery", terms_.discovery}});
@@ -218,6 +232,8 @@
     // The id may be that of another client's open request, which must not be affected.
     if (request_of_id_.count(call.id))
         return clients_->answer(client, 409, "", "a call with this id is open");
+    if (recent_ids_.may_have_run(hash_of(call.id), loop_.now()))
+        return clients_->answer(client, 409, "", "a call with this id may have run");
     if (dispatcher_->open_requests() >= max_open_requests_)
         return clients_->answer(client, 503, "", "too many calls in hand");
     // Header fields that a client adds are meant for the model server too, such as the key by which it
@@ -286,6 +302,7 @@
 void Node::rejected(RequestIndex request, Duration retry_after, std::string_view why) {
     char retry_header[64] = "";
     request_log_.request_ended(open_requests_[request].id, RequestLog::Final::rejected, why, loop_.now());
+    recent_ids_.remove(hash_of(open_requests_[request].id));
     if (retry_after.us > 0)
         std::snprintf(retry_header, sizeof retry_header, "Retry-After: %.3f\r\n", retry_after.ms() / 1000);
     clients_->answer(mark_answered(request).client, why == kOverQuota ? 429 : 503, retry_header, why);
@@ -398,6 +415,11 @@
     return dispatcher_->may_still_send(attempt, client_gone, remaining);
 }
 
+void Node::attempt_is_written(AttemptId attempt) {
+    const auto it = request_of_attempt_.find(attempt);
+    if (it != request_of_attempt_.end()) recent_ids_.add(hash_of(open_requests_[it->second].id), loop_.now());
+}
+
 // ---- from servers
 
 RequestLog::Attempt Node::describe(RequestIndex request, AttemptId attempt) const {
@@ -499,6 +521,7 @@
     status.budget_bytes = budget_->bytes();
     status.refused_for_memory = refused_for_memory_;
     status.inputs_given_up = clients_->inputs_given_up();
+    status.ids_forgotten_early = recent_ids_.forgotten_early();
     status.client_connections = clients_->size();
     status.lingering_connections = loop_.adopted();
     status.server_connections = upstreams_->size();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/memory_budget.h"
+#include "core/recent_request_ids.h"
 #include "dispatch/dispatcher.h"
 #include "logging/log.h"
 #include "net/line_connection.h"
@@ -96,6 +97,7 @@
     RequestLog::Attempt describe(RequestIndex request, AttemptId attempt) const;
     void events_received(AttemptId attempt, std::string_view events, std::size_t count) override;
     Denial may_write(AttemptId attempt, Duration remaining) override;
+    void attempt_is_written(AttemptId attempt) override;
     void stream_progressed(AttemptId attempt) override { dispatcher_->stream_progressed(attempt); }
     void answer_began(AttemptId attempt) override { dispatcher_->answer_began(attempt); }
     void release_answered(const std::string& id, const HoldLedger::ReleaseResult& result) override;
@@ -124,6 +126,7 @@
     std::size_t max_open_requests_ = 0;
     std::vector<OpenRequest> open_requests_;  // by request index
     std::unordered_map<std::string, RequestIndex> request_of_id_;
+    RecentRequestIds recent_ids_;
     std::unordered_map<ClientId, RequestIndex> request_of_client_;
     std::unordered_map<AttemptId, RequestIndex> request_of_attempt_;  // until the request is closed
     bool stopping_ = false, stopped_ = false;
--- a/src/node/status_log.cpp
+++ b/src/node/status_log.cpp
@@ -70,7 +70,8 @@
               {"client_output_bytes", number(status.client_output_bytes)},
               {"server_input_bytes", number(status.server_input_bytes)},
               {"refused_for_memory", number(status.refused_for_memory)},
-              {"inputs_given_up", number(status.inputs_given_up)}});
+              {"inputs_given_up", number(status.inputs_given_up)},
+              {"ids_forgotten_early", number(status.ids_forgotten_early)}});
 }
 
 }  // namespace copperfront
--- a/src/node/status_log.h
+++ b/src/node/status_log.h
@@ -37,6 +37,8 @@
                 server_input_bytes = 0, budget_bytes = 0;
     // Requests refused, and connections whose input was given up, for lack of memory, since the start.
     std::uint64_t refused_for_memory = 0, inputs_given_up = 0;
+    // Ids of requests that may have run, forgotten before their time.
+    std::uint64_t ids_forgotten_early = 0;
 };
 
 class StatusLog {
--- a/src/node/upstream_pool.cpp
+++ b/src/node/upstream_pool.cpp
@@ -157,6 +157,7 @@
             default:
                 return parent_.attempt_failed(*this, Loss::not_fully_written, text_of(denial));
         }
+        parent_.owner_.attempt_is_written(attempt_);
         stream_->send(message.before);
         stream_->send(std::to_string(std::max<std::int64_t>(1, left.us / 1000)));
         stream_->send(message.after);
--- a/src/node/upstream_pool.h
+++ b/src/node/upstream_pool.h
@@ -45,6 +45,8 @@
         // Asked right before the first byte of an attempt is written. `remaining`: the time until the
         // deadline that is sent to its server. The attempt is dropped if this is denied.
         virtual Denial may_write(AttemptId attempt, Duration remaining) = 0;
+        // Its first byte is about to be written, so that it may run from now on.
+        virtual void attempt_is_written(AttemptId attempt) = 0;
         // More bytes of a stream that has begun have arrived, which need not complete an event.
         virtual void stream_progressed(AttemptId attempt) = 0;
         // The first bytes of its response have arrived, which need not be an event.
--- a/tests/node/departed_client_test.cpp
+++ b/tests/node/departed_client_test.cpp
@@ -75,6 +75,45 @@
     EXPECT_EQ(fixture.decode.count("POST"), 0u);
 }
 
+// Guards against an id that runs twice: it comes again on a new connection after its client has left while a
+// decode server works on it.
+TEST(RequestId, ThatMayHaveRunDoesNotRunAgain) {
+    for (const char* const effect : {"repeatable", "once"}) {
+        ScriptedGatewayFixture fixture(settings_with_effect(effect));
+        auto first = fixture.client();
+        fixture.advance_to_decode(*first, 1, "2000", "same-id");
+        first->disconnect();
+        for (const Duration after : {ms(0), ms(300), ms(1200)}) {
+            fixture.run_for(after);
+            auto again = fixture.client();
+            again->send(fixture.request_text("same-id"));
+            fixture.wait_until("an answer", [&] { return again->status() != 0; });
+            EXPECT_EQ(again->status(), 409) << effect;
+        }
+        EXPECT_EQ(fixture.prefill.count("POST"), 1u) << effect;
+        EXPECT_EQ(fixture.decode.count("POST"), 1u) << effect;
+    }
+}
+
+// An id whose request was never sent may come again.
+TEST(RequestId, ThatNeverRanIsTakenAgain) {
+    ScriptedGatewayFixture fixture;
+    fixture.platform.set_status("r1", "draining");
+    fixture.wait_for_list();
+    auto first = fixture.client();
+    first->send(fixture.request_text("same-id"));
+    fixture.wait_until("the request is queued",
+                       [&] { return fixture.node->dispatcher().open_requests() == 1; });
+    first->disconnect();
+    fixture.wait_until("the request has ended",
+                       [&] { return fixture.node->dispatcher().open_requests() == 0; });
+    fixture.platform.set_status("r1", "up");
+    fixture.wait_for_list();
+    auto again = fixture.client();
+    again->send(fixture.request_text("same-id"));
+    fixture.wait_for_post(fixture.prefill, 1);
+}
+
 // Behind the unanswered request there are more bytes than the gateway buffers.
 TEST_P(DisconnectedClient, CloseBehindABacklogIsNoticed) {
     ScriptedGatewayFixture fixture;
--- a/tests/node/fleet_test.cpp
+++ b/tests/node/fleet_test.cpp
@@ -219,6 +219,7 @@
         Denial may_write(AttemptId, Duration) override { return Denial::none; }
         HoldLedger hold_ledger{Duration{1000000}};
         void answer_began(AttemptId) override {}
+        void attempt_is_written(AttemptId) override {}
         void stream_progressed(AttemptId) override {}
         void release_answered(const std::string&, const HoldLedger::ReleaseResult&) override {}
         void release_abandoned(const std::string&, const HoldLedger::ReleaseResult&) override {}
