Soak: crowds of hostile clients, and resident memory in the judge

Cause: the soak's gateways had 192 MB and a few clients, and its judge did not read their memory, so no number of runs could find a gateway that passes its limit.

--- a/src/cli/soak_command.cpp
+++ b/src/cli/soak_command.cpp
@@ -138,6 +138,14 @@
         ->check(CLI::Range(0.05, 1.0))
         ->capture_default_str();
     sub->add_option("--clients", options->clients)->check(CLI::Range(1, 1000))->capture_default_str();
+    sub->add_option("--memory-mb", options->memory_mb, "limit of each gateway")
+        ->check(CLI::Range(16, 4096))
+        ->capture_default_str();
+    sub->add_option("--descriptors", options->descriptors, "limit of each gateway")
+        ->check(CLI::Range(128, 65536))
+        ->capture_default_str();
+    sub->add_flag("--hostile-clients", options->hostile_clients,
+                  "crowds of clients that stop in the middle of requests, write or read slowly");
     sub->add_option("--shim", options->shim,
                     "library to preload into gateways, which makes system calls fail");
     sub->add_option("--gateway-program", options->gateway_program,
--- a/src/scenario/process.cpp
+++ b/src/scenario/process.cpp
@@ -12,6 +12,7 @@
 
 #include <cerrno>
 #include <cstring>
+#include <fstream>
 #include <stdexcept>
 
 namespace copperfront::scenario {
@@ -33,6 +34,24 @@
     }
 };
 
+namespace {
+
+// A field of the process's status, in KB.
+std::int64_t status_field(pid_t process, const std::string& field) {
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    std::string word;
+    std::int64_t kilobytes = 0;
+    while (status >> word) {
+        if (word == field) return status >> kilobytes ? kilobytes : 0;
+    }
+    return 0;
+}
+
+}  // namespace
+
+std::int64_t peak_resident_kb(pid_t process) { return status_field(process, "VmHWM:"); }
+std::int64_t resident_kb(pid_t process) { return status_field(process, "VmRSS:"); }
+
 ChildProcesses::ChildProcesses(Loop& loop) : loop_(loop) {
     loop_.on_signal(SIGCHLD, [this] { reap(); });
 }
--- a/src/scenario/process.h
+++ b/src/scenario/process.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -15,6 +16,11 @@
 
 namespace copperfront::scenario {
 
+// The most memory that a process has ever had resident, in KB; 0 if it does not run.
+std::int64_t peak_resident_kb(pid_t process);
+// What it has resident now.
+std::int64_t resident_kb(pid_t process);
+
 // The running child processes by name.
 class ChildProcesses {
   public:
--- a/src/soak/fleet.cpp
+++ b/src/soak/fleet.cpp
@@ -19,6 +19,7 @@
 constexpr Duration kRestartDelay{100000};
 constexpr Duration kCrashNoticeDelay{400000};  // until discovery reports that a server has crashed
 constexpr Duration kReadyPollInterval{50000};
+constexpr Duration kMemorySampleInterval{100000};
 constexpr int kGatewayPort = 18080;
 constexpr int kHosts = 250;
 constexpr std::size_t kServerGroups = 4;
@@ -126,6 +127,7 @@
 }
 
 void Fleet::start() {
+    sample_memory();
     cold_start_ = options_.listed_servers > 0 && options_.seed % 3 == 0;
     const std::size_t count = options_.prefill_servers + options_.decode_servers;
     for (std::size_t n = 0; n < count; ++n) {
@@ -169,8 +171,9 @@
     std::ofstream file(temporary_file);
     file << R"({"name":")" << process.name << R"(","listen":")" << gateway_address(gateway).text()
          << R"(","discovery":")" << platform_->discovery_for(process.name).text() << R"(","seed":")"
-         << options_.seed * 100 + process.life << R"(","limits":{"memory_mb":192,"sockets":512},"known":)"
-         << platform_->list_json() << ",\n " << kSettings << "}\n";
+         << options_.seed * 100 + process.life << R"(","limits":{"memory_mb":)" << options_.memory_mb
+         << R"(,"sockets":)" << options_.descriptors << R"(},"known":)" << platform_->list_json() << ",\n "
+         << kSettings << "}\n";
     file.close();
     std::filesystem::rename(temporary_file, process.configuration);
 }
@@ -187,6 +190,7 @@
     life.gateway = gateway;
     life.life = process.life;
     life.started = monotonic_clock_us();
+    life.memory_limit_kb = static_cast<std::int64_t>(options_.memory_mb) << 10;
     records_.gateways.push_back(life);
     const std::string run = options_.folder + "/" + process.name + "." + std::to_string(process.life);
     scenario::ChildProcesses::ProcessOptions start;
@@ -220,6 +224,17 @@
         });
 }
 
+// The system keeps the peak of each process, so that only the time before its end is missed.
+void Fleet::sample_memory() {
+    for (const auto& process : gateways_) {
+        if (!process->running) continue;
+        const std::int64_t peak = scenario::peak_resident_kb(processes_.pid_of(process->name));
+        GatewayLife& life = records_.gateways[process->record];
+        life.peak_resident_kb = std::max(life.peak_resident_kb, peak);
+    }
+    after(kMemorySampleInterval, [this] { sample_memory(); });
+}
+
 // Simulates a machine that others use as well.
 void Fleet::limit_cpu(std::size_t gateway) {
     if (options_.least_cpu_share >= 1) return;
--- a/src/soak/fleet.h
+++ b/src/soak/fleet.h
@@ -27,6 +27,7 @@
     // Total number of entries in the list, where that exceeds the number of servers: each server is then
     // listed under many names.
     std::size_t listed_servers = 0;
+    std::size_t memory_mb = 192, descriptors = 512;  // limits of each gateway
     double least_cpu_share = 1;  // of a core; each life of a gateway draws its share from here to 1
     double server_fault_share = 0.05;
     std::string shim;                // a library to preload into gateways; empty: none
@@ -40,6 +41,7 @@
     ~Fleet() override;
 
     void start();
+    std::size_t descriptors() const { return options_.descriptors; }
     // Whether all gateways and servers have reported that they are ready.
     bool is_ready() const;
     bool gateways_have_exited() const;
@@ -106,6 +108,7 @@
     void start_server(std::size_t server);
     void write_configuration(std::size_t gateway);
     void limit_cpu(std::size_t gateway);
+    void sample_memory();
     void gateway_ended(std::size_t gateway, int status);
     void server_ended(std::size_t server);
     void poll_ready(std::size_t gateway);
--- a/src/soak/hostile_clients.cpp
+++ b/src/soak/hostile_clients.cpp
@@ -99,7 +99,8 @@
 
     std::string head(const std::string& more_fields) {
         return "POST /v1/chat/completions HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: hostile-" +
-               std::to_string(++parent_.next_id_) + "\r\nX-Service-Class: " + parent_.options_.service_class +
+               std::to_string(parent_.options_.seed) + "-" + std::to_string(++parent_.next_id_) +
+               "\r\nX-Service-Class: " + parent_.options_.service_class +
                "\r\nX-Account: acme\r\nX-Session-Key: h\r\nX-Time-Left-Ms: 2000\r\n"
                "X-Facts: prompt_len=20,max_out=50\r\n" +
                more_fields;
--- a/src/soak/judge.cpp
+++ b/src/soak/judge.cpp
@@ -28,6 +28,7 @@
 // What a slow network or a stopped process may add to the time between sending and reading.
 constexpr Microseconds kTransitLimit = 5000 * kMs;
 constexpr std::size_t kMaxFindingsShown = 12;
+constexpr double kMaxMemoryShare = 0.95;  // of a gateway's limit
 
 struct Attempt {
     const ServerRecord* arrived = nullptr;
@@ -415,6 +416,13 @@
             if (life.exited != 0 && life.status == 0 && life.terminated == 0) {
                 add_finding("crash", name, "ended without a signal");
             }
+            judgement_.peak_resident_kb = std::max(judgement_.peak_resident_kb, life.peak_resident_kb);
+            if (life.memory_limit_kb > 0 && static_cast<double>(life.peak_resident_kb) >
+                                                kMaxMemoryShare * static_cast<double>(life.memory_limit_kb)) {
+                add_finding("memory", name,
+                            std::to_string(life.peak_resident_kb) + " KB were resident, its limit is " +
+                                std::to_string(life.memory_limit_kb));
+            }
             if (life.violations > 0 && !all_were_unavailable_) {
                 add_finding("self check", name,
                             std::to_string(life.violations) + " violations in its own count");
@@ -436,7 +444,7 @@
     std::ostringstream out;
     out << requests << " requests: " << completed << " completed, " << rejected << " rejected, " << failed
         << " failed, " << left << " left by their clients; longest held state " << longest_held / kMs
-        << " ms; " << findings.size() << " findings\n";
+        << " ms; most memory " << peak_resident_kb << " KB; " << findings.size() << " findings\n";
     for (std::size_t n = 0; n < findings.size() && n < kMaxFindingsShown; ++n) {
         out << "  " << findings[n].rule << ": " << findings[n].request << ": " << findings[n].what << '\n';
     }
--- a/src/soak/judge.h
+++ b/src/soak/judge.h
@@ -22,6 +22,7 @@
     std::vector<Finding> findings;
     std::size_t requests = 0, completed = 0, rejected = 0, failed = 0, left = 0;
     Microseconds longest_held = 0;
+    std::int64_t peak_resident_kb = 0;  // of the gateway that had most
     bool passed() const { return findings.empty(); }
     std::string text() const;
 };
--- a/src/soak/records.h
+++ b/src/soak/records.h
@@ -88,6 +88,7 @@
     Microseconds started = 0, terminated = 0, killed = 0, exited = 0;  // 0: did not happen
     int status = 0;                                                    // from waitpid
     std::int64_t violations = -1;                                      // from its last log line; -1: none
+    std::int64_t memory_limit_kb = 0, peak_resident_kb = 0;            // 0: not known
 };
 
 struct Records {
--- a/src/soak/soak_run.cpp
+++ b/src/soak/soak_run.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_run.h"
 
 #include <algorithm>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <random>
@@ -8,6 +9,7 @@
 
 #include "net/loop.h"
 #include "soak/fleet.h"
+#include "soak/hostile_clients.h"
 #include "soak/load_client.h"
 #include "soak/stalled_client.h"
 
@@ -241,6 +243,40 @@
     Timer next_fault_;
 };
 
+// Crowds of hostile clients, one after the other, at gateways and with behaviors drawn from the seed.
+class HostileCrowds {
+  public:
+    HostileCrowds(Loop& loop, Fleet& fleet, std::uint32_t seed)
+        : loop_(loop), fleet_(fleet), random_(seed), next_(loop, [this] { replace(); }) {}
+    void start() { next_.set(kMs * 200); }
+    void stop() {
+        next_.cancel();
+        crowds_.clear();
+    }
+
+  private:
+    void replace() {
+        if (crowds_.size() >= kCrowdsAtOnce) crowds_.pop_front();
+        std::uniform_int_distribution<std::size_t> any_gateway(0, fleet_.gateway_count() - 1),
+            any_behavior(0, std::size(kHostileBehaviors) - 1);
+        HostileClients::Options options;
+        options.behavior = kHostileBehaviors[any_behavior(random_)];
+        options.clients = fleet_.descriptors() * 45 / 100;
+        options.seed = static_cast<std::uint32_t>(random_());
+        options.service_class = "idempotent";
+        crowds_.push_back(
+            std::make_unique<HostileClients>(loop_, fleet_.gateway_address(any_gateway(random_)), options));
+        next_.set(kMs * static_cast<double>(std::uniform_int_distribution<int>(500, 2500)(random_)));
+    }
+
+    static constexpr std::size_t kCrowdsAtOnce = 2;
+    Loop& loop_;
+    Fleet& fleet_;
+    std::minstd_rand random_;
+    std::deque<std::unique_ptr<HostileClients>> crowds_;
+    Timer next_;
+};
+
 // False: the condition was not met within the limit.
 template <class Condition>
 bool wait_for(Loop& loop, Condition condition, Duration limit) {
@@ -313,6 +349,8 @@
     fleet_options.decode_servers = options.decode_servers;
     fleet_options.listed_servers = options.listed_servers;
     fleet_options.least_cpu_share = options.least_cpu_share;
+    fleet_options.memory_mb = options.memory_mb;
+    fleet_options.descriptors = options.descriptors;
     fleet_options.shim = options.shim;
     fleet_options.log_level = options.log_level;
     {
@@ -336,9 +374,12 @@
         }
         FaultSchedule faults(loop, fleet, records, options.seed, options.listed_servers > 0);
         faults.start();
+        HostileCrowds crowds(loop, fleet, options.seed);
+        if (options.hostile_clients) crowds.start();
         wait_for(
             loop, [] { return false; }, kMs * (options.seconds * 1000));
         faults.stop();
+        crowds.stop();
         for (const auto& client : clients) client->stop();
         fleet.heal();
         const auto are_idle = [&] {
--- a/src/soak/soak_run.h
+++ b/src/soak/soak_run.h
@@ -18,8 +18,11 @@
     double quiet_seconds = 0;          // under load before the first fault
     double discovery_out_seconds = 0;  // discovery does not answer, from the first fault on
     std::size_t gateways = 5, prefill_servers = 12, decode_servers = 12, clients = 40;
-    std::size_t listed_servers = 0;  // entries of the list; 0: as many as there are servers
-    double least_cpu_share = 1;      // of a core, for each gateway
+    std::size_t listed_servers = 0;                  // entries of the list; 0: as many as there are servers
+    double least_cpu_share = 1;                      // of a core, for each gateway
+    std::size_t memory_mb = 192, descriptors = 512;  // limits of each gateway
+    // Whether crowds of hostile clients come, each of as many as a gateway has descriptors for.
+    bool hostile_clients = false;
     std::string shim;
     std::string log_level = "info";
 };
--- a/tests/node/large_fleet.h
+++ b/tests/node/large_fleet.h
@@ -128,8 +128,12 @@
     const Address& gateway_address() const { return address_; }
     bool is_running() const { return processes_.is_running(kGateway); }
     // Resident memory of the gateway now, and the most it has ever had, in MB; 0 once it has ended.
-    double resident_mb() const { return memory_mb_of("VmRSS:"); }
-    double peak_resident_mb() const { return memory_mb_of("VmHWM:"); }
+    double resident_mb() const {
+        return static_cast<double>(scenario::resident_kb(processes_.pid_of(kGateway))) / 1024;
+    }
+    double peak_resident_mb() const {
+        return static_cast<double>(scenario::peak_resident_kb(processes_.pid_of(kGateway))) / 1024;
+    }
 
     // One request on a connection of its own.
     struct Request {
@@ -223,18 +227,6 @@
   private:
     static constexpr const char* kGateway = "gateway";
 
-    double memory_mb_of(const std::string& field) const {
-        std::ifstream status("/proc/" + std::to_string(processes_.pid_of(kGateway)) + "/status");
-        std::string word;
-        while (status >> word) {
-            if (word != field) continue;
-            double kilobytes = 0;
-            status >> kilobytes;
-            return kilobytes / 1024;
-        }
-        return 0;
-    }
-
     static void raise_descriptor_limit() {
         rlimit limit{};
         getrlimit(RLIMIT_NOFILE, &limit);
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -150,6 +150,21 @@
     EXPECT_FALSE(well(0));
 }
 
+TEST(MemoryJudge, FindsAGatewayThatComesNearItsLimit) {
+    constexpr std::int64_t kLimit = 32 << 10;
+    for (const bool over : {false, true}) {
+        Records records;
+        GatewayLife life;
+        life.started = 1;
+        life.memory_limit_kb = kLimit;
+        life.peak_resident_kb = kLimit * 95 / 100 + (over ? 1 : 0);
+        records.gateways.push_back(life);
+        const Judgement judgement = judge(records, {});
+        EXPECT_EQ(judgement.passed(), !over);
+        EXPECT_EQ(judgement.peak_resident_kb, life.peak_resident_kb);
+    }
+}
+
 // 250 ms of the settings, the protocol's 50 ms, and the judge's tolerance for a busy machine.
 constexpr Microseconds kDrainLimit = 420 * kMs;
 
