A class that does not ask for streams gets its status and events

Cause: the dispatcher drops tokens of a category that does not stream, while the node ends the stream that it never began.

Change: on the platform every model server answers with a stream, so the node's categories all stream, whatever the mark says.

Measured: Stream.ClassThatDoesNotAskForStreamsGetsItsEvents had no status before (Which is: 0) and passes now.

--- a/src/platform/node_terms.cpp
+++ b/src/platform/node_terms.cpp
@@ -60,6 +60,9 @@
     if (!settings.is_object()) throw BadInput("not an object: settings");
     with_context("settings", [&] {
         terms.core = read_terms(settings, terms.names);
+        // Model servers of the platform answer every request with a stream, also of a class that does not ask
+        // for one.
+        for (Category& category : terms.core.categories) category.stream = true;
         terms.connection_settings = read_connection_settings(settings);
         return 0;
     });
--- a/tests/node/streams_test.cpp
+++ b/tests/node/streams_test.cpp
@@ -44,6 +44,21 @@
     EXPECT_LT(longest_delay(fixture, decode_connection, *client, 20), kMaxEventDelay);
 }
 
+// Guards against a class that does not ask for streams getting the last chunk alone, without status and
+// events.
+TEST(Stream, ClassThatDoesNotAskForStreamsGetsItsEvents) {
+    ScriptedGatewayFixture fixture(with_setting(kSettings, R"(,"stream":true)", ""));
+    auto client = fixture.client();
+    const auto decode_connection = fixture.advance_to_decode(*client);
+    fixture.decode.send(decode_connection, whole_stream("content"));
+    fixture.wait_until("the end of the answer", [&] {
+        return client->closed || client->received.find("0\r\n\r\n") != std::string::npos;
+    });
+    EXPECT_EQ(client->status(), 200);
+    EXPECT_TRUE(client->is_complete());
+    EXPECT_NE(client->received.find("content"), std::string::npos);
+}
+
 // Lists of a hundred servers arrive all the time.
 TEST(Stream, LargeListsDelayNoEvent) {
     ScriptedGatewayFixture fixture;
