Crowds as processes of their own, ids kept together, fair turns of reading

Cause: the soak's crowds ran in the process that relays for all servers, so that calls arrived up to 0.3 s late at several gateways in the same moment; its judge read the memory of a child that had not yet become the gateway (123 and 189 MB of 32). In the gateway, remembered ids lay scattered among other objects and kept pages from being returned; with all descriptors taken, a connection whose request lay unread was closed before ones that had stopped.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -280,6 +280,7 @@
     }
     add_fake_platform_command(*sub, command);
     add_model_server_command(*sub, command);
+    add_hostile_clients_command(*sub, command);
     auto* roster = sub->add_subcommand("roster", "A stand-in roster; its list is set by the call roster/set");
     auto identity = std::make_shared<fake_server::FakeRosterOptions>();
     auto min_delay_ms = std::make_shared<double>(200), max_delay_ms = std::make_shared<double>(1000);
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -19,6 +19,7 @@
 void add_node_command(CLI::App& app, Command& command);
 void add_fake_platform_command(CLI::App& fake_server_commands, Command& command);
 void add_model_server_command(CLI::App& fake_server_commands, Command& command);
+void add_hostile_clients_command(CLI::App& fake_server_commands, Command& command);
 void add_soak_command(CLI::App& app, Command& command);
 void add_check_command(CLI::App& app, Command& command);
 void add_routes_command(CLI::App& app, Command& command);
--- a/src/cli/soak_command.cpp
+++ b/src/cli/soak_command.cpp
@@ -6,8 +6,11 @@
 #include <filesystem>
 #include <map>
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "cli/commands.h"
+#include "soak/hostile_clients.h"
 #include "soak/model_server.h"
 #include "soak/soak_run.h"
 
@@ -83,8 +86,40 @@
     return kSuccess;
 }
 
+int run_hostile_clients(const Address& gateway, const soak::HostileClients::Options& options) {
+    Loop loop;
+    const soak::HostileClients clients(loop, gateway, options);
+    for (const int signal : {SIGTERM, SIGINT}) loop.on_signal(signal, [&] { loop.stop(); });
+    loop.run();
+    return kSuccess;
+}
+
 }  // namespace
 
+void add_hostile_clients_command(CLI::App& fake_server_commands, Command& command) {
+    auto* sub = fake_server_commands.add_subcommand(
+        "hostile-clients",
+        "Clients that stop in the middle of requests, write or read slowly, or send very many fields");
+    auto options = std::make_shared<soak::HostileClients::Options>();
+    auto gateway = std::make_shared<std::string>(), behavior = std::make_shared<std::string>("mixed");
+    sub->add_option("--gateway", *gateway, "address of the gateway, on loopback")->required();
+    std::vector<std::string> behaviors;
+    for (const soak::HostileBehavior known : soak::kHostileBehaviors) behaviors.emplace_back(text_of(known));
+    sub->add_option("--behavior", *behavior)->check(CLI::IsMember(behaviors))->capture_default_str();
+    sub->add_option("--clients", options->clients)->check(CLI::Range(1, 20000))->capture_default_str();
+    sub->add_option("--seed", options->seed)->capture_default_str();
+    sub->add_option("--class", options->service_class, "service class of their requests")
+        ->capture_default_str();
+    sub->callback([=, &command] {
+        command = [=] {
+            for (const soak::HostileBehavior known : soak::kHostileBehaviors) {
+                if (*behavior == text_of(known)) options->behavior = known;
+            }
+            return run_hostile_clients(Address::parse(*gateway), *options);
+        };
+    });
+}
+
 void add_model_server_command(CLI::App& fake_server_commands, Command& command) {
     auto* sub = fake_server_commands.add_subcommand(
         "model-server",
--- a/src/core/memory_budget.cpp
+++ b/src/core/memory_budget.cpp
@@ -30,7 +30,7 @@
 constexpr Duration kLeastAge{1000};
 
 // Trimming costs time, as the memory has to be mapped again.
-constexpr std::size_t kMinTrimBytes = 1 << 20;
+constexpr std::size_t kMinTrimBytes = 256 << 10;
 constexpr Duration kMinTrimInterval{1000000}, kMaxTrimInterval{2000000};
 constexpr double kTrimShare = 1.0 / 64;  // of the limit
 
--- a/src/core/recent_request_ids.h
+++ b/src/core/recent_request_ids.h
@@ -4,6 +4,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
+#include <memory_resource>
 #include <unordered_set>
 
 #include "units.h"
@@ -14,7 +16,10 @@
   public:
     // `most`: ids that are remembered at once.
     RecentRequestIds(Duration remember_for, std::size_t most)
-        : remember_for_(remember_for), most_per_generation_(most / 2) {}
+        : remember_for_(remember_for),
+          most_per_generation_(most / 2),
+          current_(std::make_unique<Generation>()),
+          previous_(std::make_unique<Generation>()) {}
     void set_remember_for(Duration remember_for) { remember_for_ = remember_for; }
 
     // Bytes that one id takes in memory.
@@ -25,17 +30,24 @@
     // The request was rejected, which promises that a repeat is harmless.
     void remove(std::uint64_t id_hash);
     bool may_have_run(std::uint64_t id_hash, Instant now);
-    std::size_t size() const { return current_.size() + previous_.size(); }
+    std::size_t size() const { return current_->ids.size() + previous_->ids.size(); }
     // Ids that were forgotten before their time because of the limit on their number.
     std::uint64_t forgotten_early() const { return forgotten_early_; }
 
   private:
+    // The ids lie together in memory: scattered among other objects, they would keep the pages around them
+    // from being returned to the system.
+    struct Generation {
+        std::pmr::unsynchronized_pool_resource memory;
+        std::pmr::unordered_set<std::uint64_t> ids{&memory};
+    };
+    void begin_generation(Instant now);
     void expire(Instant now);
 
     Duration remember_for_;
     const std::size_t most_per_generation_;
     Instant generation_began_;
-    std::unordered_set<std::uint64_t> current_, previous_;
+    std::unique_ptr<Generation> current_, previous_;
     std::uint64_t forgotten_early_ = 0;
 };
 
--- a/src/dispatch/timer_queue.h
+++ b/src/dispatch/timer_queue.h
@@ -23,6 +23,7 @@
     void pop() {
         std::pop_heap(heap_.begin(), heap_.end(), std::greater<>());
         heap_.pop_back();
+        if (heap_.capacity() > 4 * std::max(kLeastRemovalSize, heap_.size())) heap_.shrink_to_fit();
     }
     // Whether the timers have doubled since the last removal, so that another one is worth its cost.
     bool has_grown() const { return heap_.size() >= next_removal_size_; }
--- a/src/node/client_connections.cpp
+++ b/src/node/client_connections.cpp
@@ -14,6 +14,10 @@
 namespace {
 
 constexpr std::size_t kMaxUnsentBytes = 1 << 20;  // of a stream whose source does not pause
+// What all connections together may read in one turn of the loop, so that none waits long for the others.
+constexpr std::size_t kReadBytesPerTurn = 4 << 20;
+constexpr std::size_t kChunkedReadBytes = 4 << 10;  // of a body in chunks, each of which takes time
+constexpr std::size_t kMaxRoomChecks = 32;          // connections looked at to make room for another
 constexpr std::size_t kMappedBodyBytes = 8 << 10;
 
 // Memory that a body takes. A large one is mapped separately, so that reserved pages cost nothing until they
@@ -77,6 +81,7 @@
     bool has_open_request() const { return stage_ == Stage::open || stage_ == Stage::streaming; }
     bool has_sent_request() const { return has_sent_request_; }
     bool has_disconnected() const { return stream_->peer_has_closed(); }
+    bool has_no_pending_input() const { return stream_->has_no_pending_input(); }
     std::size_t unsent() const { return stream_->unsent(); }
     std::uint64_t generation() const { return generation_; }
     // Ends the session; its input is not needed any more.
@@ -92,7 +97,10 @@
     std::size_t held_input() const { return stream_->buffered() + input_.bytes(); }
     Duration input_age() const { return parent_.loop_.now() - input_since_; }
     std::size_t read_limit(const Stream&) const override {
-        return parent_.budget_.read_limit(MemoryUse::client_input, stream_->buffered());
+        const bool chunked = message_ && message_->head_done() && message_->head().chunked;
+        const std::size_t turn = chunked ? kChunkedReadBytes : kReadBytesPerTurn / parent_.sessions_.size();
+        return std::min(parent_.budget_.read_limit(MemoryUse::client_input, stream_->buffered()),
+                        std::clamp(turn, kChunkedReadBytes, Stream::kMaxReadAtOnceBytes));
     }
     void bytes_received(Stream&) override {
         note_arrival();
@@ -331,13 +339,22 @@
     sessions_.emplace(id, std::make_unique<Session>(*this, id, fd));
 }
 
-// Hundreds of connections may be open without sending anything: the one that has been without an open request
-// for longest is closed.
+// Hundreds of connections may be open without sending anything: of those without an open request, the one
+// that has been so for longest is closed, unless bytes of it wait to be read.
 void ClientConnections::make_room() {
     drop_stale_entries();
-    if (without_request_.empty()) return;
-    Session& oldest = *find(without_request_.front().first);
-    if (may_close(oldest)) drop(oldest, false);
+    Session* victim = nullptr;
+    std::size_t checks = 0;
+    for (auto it = without_request_.begin(); it != without_request_.end() && checks < kMaxRoomChecks; ++it) {
+        Session* const session = find(it->first);
+        if (session == nullptr || session->generation() != it->second || !may_close(*session)) continue;
+        ++checks;
+        if (victim == nullptr) victim = session;
+        if (!session->has_no_pending_input()) continue;
+        victim = session;
+        break;
+    }
+    if (victim != nullptr) drop(*victim, false);
 }
 
 // Gives up the input of the connections that cost most until enough memory is free.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -18,11 +18,11 @@
 // Reserved for listeners, discovery, the event loop and connections that are about to close.
 constexpr std::size_t kReservedSockets = 24, kReservedSocketsDivisor = 16;
 constexpr double kClientShare = 0.48;
-constexpr std::size_t kReleaseConnections = 8;     // connections kept for releases
-constexpr double kListMemoryShare = 0.125;         // of the memory; limit for one server list
-constexpr double kRecentIdMemoryShare = 1.0 / 64;  // of the memory
-constexpr Duration kMinIdMemory{10000000};         // time for which an id that may have run is remembered
-constexpr double kIdleTimeoutShare = 0.7;          // of the idle time-out of the servers
+constexpr std::size_t kReleaseConnections = 8;      // connections kept for releases
+constexpr double kListMemoryShare = 0.125;          // of the memory; limit for one server list
+constexpr double kRecentIdMemoryShare = 1.0 / 256;  // of the memory
+constexpr Duration kMinIdMemory{10000000};          // time for which an id that may have run is remembered
+constexpr double kIdleTimeoutShare = 0.7;           // of the idle time-out of the servers
 constexpr Duration kDefaultIdleTimeout{10000000};
 // The platform counts a client as lost that waits for more than 5 s after the last event of a server.
 constexpr Duration kMaxEventGap{4600000};
--- a/src/soak/fleet.cpp
+++ b/src/soak/fleet.cpp
@@ -227,7 +227,8 @@
 // The system keeps the peak of each process, so that only the time before its end is missed.
 void Fleet::sample_memory() {
     for (const auto& process : gateways_) {
-        if (!process->running) continue;
+        // Before it is ready, the process may not be the gateway yet but a copy of this one.
+        if (!process->running || !process->ready) continue;
         const std::int64_t peak = scenario::peak_resident_kb(processes_.pid_of(process->name));
         GatewayLife& life = records_.gateways[process->record];
         life.peak_resident_kb = std::max(life.peak_resident_kb, peak);
--- a/src/soak/soak_run.cpp
+++ b/src/soak/soak_run.cpp
@@ -1,5 +1,7 @@
 #include "soak/soak_run.h"
 
+#include <signal.h>
+
 #include <algorithm>
 #include <deque>
 #include <filesystem>
@@ -243,37 +245,52 @@
     Timer next_fault_;
 };
 
-// Crowds of hostile clients, one after the other, at gateways and with behaviors drawn from the seed.
+// Crowds of hostile clients, one after the other, at gateways and with behaviors drawn from the seed. Each is
+// a process of its own, so that it does not delay the proxies and clients of this one.
 class HostileCrowds {
   public:
-    HostileCrowds(Loop& loop, Fleet& fleet, std::uint32_t seed)
-        : loop_(loop), fleet_(fleet), random_(seed), next_(loop, [this] { replace(); }) {}
+    HostileCrowds(Loop& loop, Fleet& fleet, const SoakOptions& options)
+        : fleet_(fleet),
+          program_(options.program),
+          random_(options.seed),
+          processes_(loop),
+          next_(loop, [this] { replace(); }) {}
     void start() { next_.set(kMs * 200); }
     void stop() {
         next_.cancel();
+        for (const std::string& crowd : crowds_) processes_.signal(crowd, SIGKILL);
         crowds_.clear();
     }
 
   private:
     void replace() {
-        if (crowds_.size() >= kCrowdsAtOnce) crowds_.pop_front();
+        if (crowds_.size() >= kCrowdsAtOnce) {
+            processes_.signal(crowds_.front(), SIGKILL);
+            crowds_.pop_front();
+        }
         std::uniform_int_distribution<std::size_t> any_gateway(0, fleet_.gateway_count() - 1),
             any_behavior(0, std::size(kHostileBehaviors) - 1);
-        HostileClients::Options options;
-        options.behavior = kHostileBehaviors[any_behavior(random_)];
-        options.clients = fleet_.descriptors() * 45 / 100;
-        options.seed = static_cast<std::uint32_t>(random_());
-        options.service_class = "idempotent";
-        crowds_.push_back(
-            std::make_unique<HostileClients>(loop_, fleet_.gateway_address(any_gateway(random_)), options));
+        scenario::ChildProcesses::ProcessOptions start;
+        start.name = "crowd-" + std::to_string(++crowd_count_);
+        start.program = program_;
+        start.args = {"standin",    "hostile-clients",
+                      "--gateway",  fleet_.gateway_address(any_gateway(random_)).text(),
+                      "--behavior", text_of(kHostileBehaviors[any_behavior(random_)]),
+                      "--clients",  std::to_string(fleet_.descriptors() * 45 / 100),
+                      "--seed",     std::to_string(random_()),
+                      "--class",    "idempotent"};
+        crowds_.push_back(start.name);
+        processes_.start(std::move(start));
         next_.set(kMs * static_cast<double>(std::uniform_int_distribution<int>(500, 2500)(random_)));
     }
 
     static constexpr std::size_t kCrowdsAtOnce = 2;
-    Loop& loop_;
     Fleet& fleet_;
+    const std::string program_;
     std::minstd_rand random_;
-    std::deque<std::unique_ptr<HostileClients>> crowds_;
+    std::size_t crowd_count_ = 0;
+    std::deque<std::string> crowds_;  // names of their processes
+    scenario::ChildProcesses processes_;
     Timer next_;
 };
 
@@ -374,7 +391,7 @@
         }
         FaultSchedule faults(loop, fleet, records, options.seed, options.listed_servers > 0);
         faults.start();
-        HostileCrowds crowds(loop, fleet, options.seed);
+        HostileCrowds crowds(loop, fleet, options);
         if (options.hostile_clients) crowds.start();
         wait_for(
             loop, [] { return false; }, kMs * (options.seconds * 1000));
