--- a/src/soak/soak_run.cpp
+++ b/src/soak/soak_run.cpp
@@ -339,6 +339,25 @@
     }
 }
 
+FleetOptions fleet_options_of(const SoakOptions& options) {
+    FleetOptions fleet_options;
+    fleet_options.program = options.program;
+    fleet_options.gateway_program =
+        options.gateway_program.empty() ? options.program : options.gateway_program;
+    fleet_options.folder = options.folder;
+    fleet_options.seed = options.seed;
+    fleet_options.gateways = options.gateways;
+    fleet_options.prefill_servers = options.prefill_servers;
+    fleet_options.decode_servers = options.decode_servers;
+    fleet_options.listed_servers = options.listed_servers;
+    fleet_options.least_cpu_share = options.least_cpu_share;
+    fleet_options.memory_mb = options.memory_mb;
+    fleet_options.descriptors = options.descriptors;
+    fleet_options.shim = options.shim;
+    fleet_options.log_level = options.log_level;
+    return fleet_options;
+}
+
 }  // namespace
 
 std::map<std::string, std::size_t> shim_fault_counts(const std::string& folder) {
@@ -355,21 +374,7 @@
 Judgement run_soak(const SoakOptions& options) {
     Loop loop;
     Records records;
-    FleetOptions fleet_options;
-    fleet_options.program = options.program;
-    fleet_options.gateway_program =
-        options.gateway_program.empty() ? options.program : options.gateway_program;
-    fleet_options.folder = options.folder;
-    fleet_options.seed = options.seed;
-    fleet_options.gateways = options.gateways;
-    fleet_options.prefill_servers = options.prefill_servers;
-    fleet_options.decode_servers = options.decode_servers;
-    fleet_options.listed_servers = options.listed_servers;
-    fleet_options.least_cpu_share = options.least_cpu_share;
-    fleet_options.memory_mb = options.memory_mb;
-    fleet_options.descriptors = options.descriptors;
-    fleet_options.shim = options.shim;
-    fleet_options.log_level = options.log_level;
+    const FleetOptions fleet_options = fleet_options_of(options);
     {
         Fleet fleet(loop, fleet_options, records);
         fleet.start();
